--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -384,3 +384,9 @@
     meaning='a reset by an upstream that holds no such flow is kept back',
     remedy=NOTHING,
 )
+register(
+    number='BBF0739',
+    level=logging.INFO,
+    meaning='a client has ceased to repeat its opening packet: it waits no more',
+    remedy=NOTHING,
+)
--- a/bluebellfold/relay/agents/placing.py
+++ b/bluebellfold/relay/agents/placing.py
@@ -17,8 +17,10 @@
 # a twentieth of a request in progress.
 OTHER_ZONE_COST = 0.05
 # Requests in progress for each slot beyond which an upstream is given no new
-# flow. Upstreams queue about four requests a slot and reject what follows.
-FULL_BUSY_PER_SLOT = 4.0
+# flow. Beyond three the last would be answered after the target latency of
+# most routes, which is four to five times the work of a request; it waits at
+# the balancer instead, where it goes to the first upstream that has room.
+FULL_BUSY_PER_SLOT = 3.0
 
 NO_AGENT = Sentinel(
     name='no-agent',
--- a/bluebellfold/relay/callers/flows.py
+++ b/bluebellfold/relay/callers/flows.py
@@ -9,12 +9,13 @@
 class Assignment:
     """Hold the agent of one flow; ``tried`` declined or did not answer."""
 
-    __slots__ = ('_agent', '_opening', '_tried', '_used_at')
+    __slots__ = ('_agent', '_opened_at', '_opening', '_tried', '_used_at')
 
     def __init__(self, *, now: float) -> None:
         self._agent: Address | None = None
         self._tried: set[Address] = set()
         self._used_at = now
+        self._opened_at = now
         self._opening: int | None = None
 
     @property
@@ -22,6 +23,11 @@
         """Return the agent, None while none is chosen."""
         return self._agent
 
+    @property
+    def opened_at(self) -> float:
+        """Return when the client sent its first opening packet."""
+        return self._opened_at
+
     @property
     def tried(self) -> set[Address]:
         """Return the agents that are not to be offered the flow again."""
@@ -36,16 +42,21 @@
         """Set the agent."""
         self._agent = agent
 
+    def take_back(self, agent: Address) -> None:
+        """Take the flow from an agent that has no room for it now."""
+        if self._agent == agent:
+            self._agent = None
+
     def give_up(self, agent: Address) -> None:
         """Take the flow from an agent that doesn't serve it."""
         self._tried.add(agent)
-        if self._agent == agent:
-            self._agent = None
+        self.take_back(agent)
 
-    def begin(self, sequence: int) -> None:
+    def begin(self, sequence: int, opened_at: float) -> None:
         """Take an opening packet; another sequence means a new flow."""
         if self._opening != sequence:
             self._opening = sequence
+            self._opened_at = opened_at
             self._agent = None
             self._tried.clear()
 
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -22,6 +22,7 @@
 )
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
+    DECLINED_FULL,
     DECLINED_SERVICE,
     NO_AGENT,
     Address,
@@ -39,7 +40,7 @@
 )
 from bluebellfold.relay.callers.flows import Assignment, FlowCache
 from bluebellfold.relay.callers.searches import Searches
-from bluebellfold.relay.callers.waiting import WaitingRoom
+from bluebellfold.relay.callers.waiting import COPY_SECONDS, WaitingRoom
 from bluebellfold.relay.collectors import Journal
 
 # An agent reports for 2 s after a hello; two hellos may be lost.
@@ -194,8 +195,7 @@
 
     def tick(self, now: float) -> None:
         """Do what is due; call this about ten times a second."""
-        for waiting in self._waiting.take_expired(now):
-            self._refuse(waiting.packet, 'no-upstream-in-time')
+        self._end_waits(now)
         for view in self._roster.views:
             if view.notice_silence(now):
                 self._journal.note(
@@ -239,7 +239,11 @@
     ) -> None:
         packet = message.packet
         assignment = self._flows.find_or_add(packet.flow, now)
-        assignment.give_up(address)
+        if message.reason == DECLINED_FULL:
+            # The agent may have room a moment later.
+            assignment.take_back(address)
+        else:
+            assignment.give_up(address)
         view = self._roster.find(address)
         if view is not None and message.reason != DECLINED_SERVICE:
             view.avoid_until(now + FULL_PAUSE_SECONDS)
@@ -283,7 +287,8 @@
     def _open(self, packet: Packet, now: float) -> None:
         assignment = self._flows.find_or_add(packet.flow, now)
         assignment.touch(now)
-        assignment.begin(packet.sequence)
+        sent_before = COPY_SECONDS[min(packet.attempt, LAST_ATTEMPT)]
+        assignment.begin(packet.sequence, now - sent_before)
         agent = assignment.agent
         if agent is not None:
             view = self._roster.find(agent)
@@ -298,7 +303,7 @@
         self, packet: Packet, assignment: Assignment, now: float
     ) -> None:
         if self._routes is NO_ROUTES:
-            self._let_wait(packet, None, 'no-configuration', now)
+            self._let_wait(packet, None, 'no-configuration', assignment)
             return
         route = self._routes.find(service_address(packet.flow))
         if route is None:
@@ -316,7 +321,7 @@
             if view is NO_AGENT:
                 # What declined a moment ago may take the flow in its turn.
                 assignment.tried.clear()
-            self._let_wait(packet, route, view.name, now)
+            self._let_wait(packet, route, view.name, assignment)
             return
         assignment.assign(view.address)
         self._waiting.remove(packet.flow)
@@ -343,10 +348,14 @@
         )
 
     def _let_wait(
-        self, packet: Packet, route: Route | None, reason: str, now: float
+        self,
+        packet: Packet,
+        route: Route | None,
+        reason: str,
+        assignment: Assignment,
     ) -> None:
         known = packet.flow in self._waiting
-        if not self._waiting.add(packet, route, now):
+        if not self._waiting.add(packet, route, assignment.opened_at):
             self._refuse(packet, 'waiting-room-full')
             return
         if known:
@@ -365,9 +374,24 @@
             flow = waiting.packet.flow
             assignment = self._flows.find_or_add(flow, now)
             self._place(waiting.packet, assignment, now)
-            if flow in self._waiting:
+            if flow in self._waiting and not assignment.tried:
+                # No agent has room, so there is none for those behind.
                 return
 
+    def _end_waits(self, now: float) -> None:
+        for waiting in self._waiting.take_expired(now):
+            self._refuse(waiting.packet, 'no-upstream-in-time')
+        for abandoned in self._waiting.take_abandoned(now):
+            flow = abandoned.packet.flow
+            self._flows.forget(flow)
+            self._journal.count('flows-abandoned')
+            self._journal.note(
+                'BBF0739',
+                flow=show_flow(flow),
+                attempt=abandoned.packet.attempt,
+                waited_ms=round((now - abandoned.since) * MILLISECONDS),
+            )
+
     def _refuse_unrouted(self, packet: Packet) -> None:
         if self._routes_are_fresh:
             self._refuse(packet, 'no-route')
--- a/bluebellfold/relay/callers/waiting.py
+++ b/bluebellfold/relay/callers/waiting.py
@@ -5,8 +5,13 @@
 repeats its opening packet after 0.2 and 0.6 s and gives up after 1.4 s, so a
 flow may wait for room at the balancer instead of being rejected by an
 upstream, which would cost the client one of its retries.
+
+The newest flow of a priority goes first. While more arrives than upstreams
+can do, the oldest first would have every flow wait until its client is about
+to give up, and upstreams work on requests that nobody awaits any more.
 """
 
+from collections.abc import Iterable
 from operator import attrgetter
 
 from bluebellfold.core import Packet, Record, Route, read_only
@@ -16,6 +21,10 @@
 MAX_WAIT_SECONDS = 1.3
 # Each waiting flow holds a packet of 32 bytes.
 MAX_WAITING = 10_000
+# When a client sends the copies of its opening packet, from the first on.
+COPY_SECONDS = (0, 0.2, 0.6)
+# How late a copy may be: a round trip through another zone, and timers.
+COPY_SLACK_SECONDS = 0.15
 
 
 class WaitingFlow(Record):
@@ -39,9 +48,17 @@
 
     @property
     def turn(self) -> tuple[int, float]:
-        """Return what orders the waiting: priority, then age."""
+        """Return what orders the waiting: priority, then the newest first."""
         priority = 0 if self._route is None else self._route.priority
-        return (priority, self._since)
+        return (priority, -self._since)
+
+    def is_abandoned(self, now: float) -> bool:
+        """Tell whether the client has ceased to repeat its opening packet."""
+        following = self._packet.attempt + 1
+        if following >= len(COPY_SECONDS):
+            return False
+        due = self._since + COPY_SECONDS[following] + COPY_SLACK_SECONDS
+        return now > due
 
     def is_for(self, service: str) -> bool:
         """Tell whether an upstream of the service may take the flow."""
@@ -51,7 +68,7 @@
 
 
 class WaitingRoom:
-    """Hold flows that wait, the most urgent and then the oldest first."""
+    """Hold flows that wait, the most urgent and then the newest first."""
 
     __slots__ = ('_by_flow',)
 
@@ -66,12 +83,14 @@
         """Tell whether the flow waits."""
         return flow in self._by_flow
 
-    def add(self, packet: Packet, route: Route | None, now: float) -> bool:
-        """Let a flow wait from its first packet on; false if full."""
-        known = self._by_flow.get(packet.flow)
-        if known is None and len(self._by_flow) >= MAX_WAITING:
+    def add(self, packet: Packet, route: Route | None, since: float) -> bool:
+        """Let a flow wait that its client began to open at a moment.
+
+        Return false if the room is full.
+        """
+        known = packet.flow in self._by_flow
+        if not known and len(self._by_flow) >= MAX_WAITING:
             return False
-        since = now if known is None else known.since
         self._by_flow[packet.flow] = WaitingFlow(
             packet=packet,
             route=route,
@@ -95,11 +114,22 @@
 
     def take_expired(self, now: float) -> list[WaitingFlow]:
         """Remove and return the flows that waited too long."""
-        expired = [
+        return self._take(
             waiting
             for waiting in self._by_flow.values()
             if now - waiting.since >= MAX_WAIT_SECONDS
-        ]
-        for waiting in expired:
+        )
+
+    def take_abandoned(self, now: float) -> list[WaitingFlow]:
+        """Remove and return the flows whose clients have left."""
+        return self._take(
+            waiting
+            for waiting in self._by_flow.values()
+            if waiting.is_abandoned(now)
+        )
+
+    def _take(self, over: Iterable[WaitingFlow]) -> list[WaitingFlow]:
+        taken = list(over)
+        for waiting in taken:
             self._by_flow.pop(waiting.packet.flow)
-        return expired
+        return taken
--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -10,8 +10,9 @@
 # A slow upstream with a full queue answers within this; later its client has
 # given up, and the upstream is no longer at work for it.
 REQUEST_SECONDS = 2.0
-# A client's first request follows its opening packet by two round trips.
-OPENING_SECONDS = 0.3
+# A client's first request follows its opening packet by two round trips, of
+# 6 ms each; a client that has given up sends none.
+OPENING_SECONDS = 0.1
 
 # What an upstream may have had in flight when the agent met the flow, and
 # more: 16 packets, each sent again up to eight times.
@@ -27,6 +28,7 @@
     __slots__ = (
         '_answer_sequence',
         '_balancer',
+        '_client_finished',
         '_client_sequence',
         '_confirmed',
         '_created_at',
@@ -53,6 +55,7 @@
         self._sent_to_client: int | None = None
         self._sent_to_upstream: int | None = None
         self._finished = False
+        self._client_finished = False
         self._confirmed = False
 
     @property
@@ -145,6 +148,9 @@
         """Note a client's packet, and tell whether a request begins."""
         self._used_at = now
         if packet.resets or packet.finishes:
+            # A client that gives up ends the flow, and its last request may
+            # arrive after that: upstreams don't work on it.
+            self._client_finished = True
             self._requested_at = None
         if not packet.payload_bytes:
             return False
@@ -152,7 +158,7 @@
         if not _is_new(end, self._sent_to_upstream):
             return False
         self._sent_to_upstream = end
-        if self._requested_at is not None:
+        if self._client_finished or self._requested_at is not None:
             return False
         self._requested_at = now
         return True
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -67,9 +67,10 @@
 # Reports follow a change after this, for each balancer that is told: 6
 # balancers are told 50 times a second, 24 of them 12 times.
 REPORT_PAUSE_PER_BALANCER = 0.0035
-# Requests in progress for each slot beyond which a new flow is declined.
+# Requests in progress for each slot beyond which a new flow is declined: one
+# more than balancers aim at, since several of them act on one report.
 # Upstreams queue about four requests a slot and reject what follows.
-FULL_BUSY_PER_SLOT = 5.0
+FULL_BUSY_PER_SLOT = 4.0
 MILLISECONDS = 1000
 
 
