Close flows before an agent tells that it has left

Cause of the reset in test_the_drain_deadline_comes_while_feeds_are_open: at the drain's deadline the agent announced that it had left and closed its flows afterwards, so a balancer could answer a packet in between with a reset. Seen failing first: test_callers_are_told_of_the_close_before_a_drain_is_done.

--- a/bluebellfold/callers/quic/flows.py
+++ b/bluebellfold/callers/quic/flows.py
@@ -134,9 +134,7 @@
 
     async def close(self) -> None:
         """Close all flows in good order, then the socket."""
-        for flow in self._flows:
-            flow.close()
-            self._send_datagrams(flow)
+        self._close_all()
         self._drain.close()
         self._timers.close()
         self._loads.close()
@@ -165,7 +163,7 @@
     @reactions.add(DrainFlows)
     def _start_drain(self, message: DrainFlows) -> None:
         self._placer.drain()
-        self._drain.start(message, expire=self._report_drained)
+        self._drain.start(message, expire=self._expire_drain)
         for flow in self._flows:
             flow.announce_drain()
             self._settle(flow, ())
@@ -342,6 +340,18 @@
                 flow.close()
                 self._settle(flow, ())
 
+    def _close_all(self) -> None:
+        for flow in self._flows:
+            flow.close()
+            self._send_datagrams(flow)
+
+    def _expire_drain(self) -> None:
+        left_open = self._count()
+        # Balancers reset the flows of an agent that has left, so callers
+        # have to be told of the close before balancers are told to forget.
+        self._close_all()
+        self._drain.finish(left_open)
+
     def _report_if_drained(self) -> None:
         if not len(self._flows):
             self._report_drained()
--- a/bluebellfold/callers/quic/tests/test_flows.py
+++ b/bluebellfold/callers/quic/tests/test_flows.py
@@ -194,11 +194,27 @@
     assert (left.flows, left.requests) == (len(callers), 1)
 
 
+@in_loop
+async def test_callers_are_told_of_the_close_before_a_drain_is_done():
+    # Once the drain is done the agent tells that it has left, and balancers
+    # reset the flows that they still meet.
+    bench = Bench()
+    callers = [bench.connect() for _ in range(3)]
+    drained = Reply()
+    bench.task.react(DrainFlows(deadline_seconds=SHORT_SECONDS, reply=drained))
+    await drained.wait()
+    _assert_closed_in_good_order(bench, callers)
+
+
 @in_loop
 async def test_flows_are_closed_in_good_order():
     bench = Bench()
     callers = [bench.connect() for _ in range(3)]
     await bench.task.close()
+    _assert_closed_in_good_order(bench, callers)
+
+
+def _assert_closed_in_good_order(bench: Bench, callers: list[Caller]) -> None:
     bench.settle()
     for caller in callers:
         caller.quic.handle_timer(caller.quic.get_timer())
--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -387,6 +387,6 @@
 register(
     number='BBF0739',
     level=logging.INFO,
-    meaning='a client has ceased to repeat its opening packet: it waits no more',
+    meaning='a client no longer repeats its opening packet and is dropped',
     remedy=NOTHING,
 )
--- a/bluebellfold/daemons/tests/test_planned_stop.py
+++ b/bluebellfold/daemons/tests/test_planned_stop.py
@@ -49,7 +49,12 @@
 
 @given(parsers.parse('{feeds:d} feeds run'))
 def open_feeds(scene: PlannedScene, feeds: int) -> None:
-    scene.run(scene.open_feeds(feeds))
+    async def open_on_both() -> None:
+        # Any number of feeds may happen to be placed on one upstream.
+        await scene.open_feeds(feeds)
+        await scene.open_feeds_until(LEAVING)
+
+    scene.run(open_on_both())
     assert scene.feeds_of(LEAVING)
 
 
