--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -27,7 +27,12 @@
     Offer,
     Seek,
 )
-from bluebellfold.relay.agents.placing import ALL_FULL, NO_AGENT, place
+from bluebellfold.relay.agents.placing import (
+    ALL_FULL,
+    NO_AGENT,
+    place,
+    room_for,
+)
 from bluebellfold.relay.agents.roster import (
     Address,
     AgentView,
@@ -64,4 +69,5 @@
     'decode_message',
     'encode_message',
     'place',
+    'room_for',
 )
--- a/bluebellfold/relay/agents/placing.py
+++ b/bluebellfold/relay/agents/placing.py
@@ -82,8 +82,23 @@
 
 
 def is_full(view: AgentView) -> bool:
-    """Tell whether the upstream's slots and queue have no room."""
-    return view.busy >= view.load.slots * FULL_BUSY_PER_SLOT
+    """Tell whether one more request would wait too long at the upstream."""
+    load = view.load
+    return view.busy >= room_for(
+        FULL_BUSY_PER_SLOT, slots=load.slots, warming=load.warming
+    )
+
+
+def room_for(busy_per_slot: float, *, slots: int, warming: bool) -> float:
+    """Return how many requests an upstream may hold at a time.
+
+    One that warms up takes longer for each, so it holds fewer.
+
+    >>> room_for(3, slots=2, warming=False), room_for(3, slots=2, warming=True)
+    (6, 3.75)
+    """
+    room = slots * busy_per_slot
+    return room / WARMING_FACTOR if warming else room
 
 
 @RULES.add('in-turn')
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -203,9 +203,12 @@
                     agent=view.address[0],
                     report_age_ms=round(view.age_seconds(now) * MILLISECONDS),
                 )
-        if now >= self._hello_due:
+        everyone = now >= self._hello_due
+        if everyone:
             self._hello_due = now + HELLO_SECONDS
-            for view in self._roster.views:
+        for view in self._roster.views:
+            # An agent that starts is met within a tick, not at its next turn.
+            if everyone or not view.is_live(now):
                 self._greet(view)
         if now < self._sweep_due:
             return
--- a/bluebellfold/relay/callers/tests/test_relay.py
+++ b/bluebellfold/relay/callers/tests/test_relay.py
@@ -328,6 +328,24 @@
     assert [address for address, _ in balancer.outlet.take(Hello)] == [FIRST]
 
 
+def test_agent_that_is_about_to_start_is_greeted_at_every_tick():
+    # After a power loss balancers know the list before agents listen.
+    balancer = Balancer(agents=(FIRST, SECOND))
+    balancer.hear(SECOND, report_of())
+    balancer.outlet.told.clear()
+    balancer.wait(0.1)
+    assert [address for address, _ in balancer.outlet.take(Hello)] == [FIRST]
+
+
+def test_upstream_that_warms_up_holds_fewer_requests():
+    # Three requests a slot would be answered after the target latency.
+    balancer = balancer_with(report_of(busy=4, warming=True))
+    balancer.receive(opening_packet())
+    assert not balancer.outlet.take(Offer)
+    balancer.hear(FIRST, report_of(busy=4, sequence=2))
+    assert len(balancer.outlet.take(Offer)) == 1
+
+
 def test_readiness_needs_routes_and_a_live_agent():
     assert not Balancer(agents=(FIRST,), routes=NO_ROUTES).relay.is_ready(100)
     balancer = Balancer(agents=(FIRST,))
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -70,10 +70,13 @@
         return self._withdrawn
 
     def is_warming(self, now: float) -> bool:
-        """Tell whether the upstream is still slow after its start."""
+        """Tell whether the upstream is still slow after its start.
+
+        One that hasn't announced itself may have started with this agent.
+        """
         known = self._announcement
         if known is None:
-            return False
+            return True
         return now - self._announced_at < known.warmup_seconds
 
     def state(self, now: float) -> int:
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -38,6 +38,7 @@
     NotHeld,
     Offer,
     Seek,
+    room_for,
 )
 from bluebellfold.relay.balancers import Subscriptions
 from bluebellfold.relay.collectors import Journal
@@ -451,8 +452,12 @@
             return DECLINED_DOWN
         if flow is not None:
             return 0
-        full = self._flows.busy(now) >= FULL_BUSY_PER_SLOT * self._health.slots
-        return DECLINED_FULL if full else 0
+        room = room_for(
+            FULL_BUSY_PER_SLOT,
+            slots=self._health.slots,
+            warming=self._health.is_warming(now),
+        )
+        return DECLINED_FULL if self._flows.busy(now) >= room else 0
 
     def _give_back_unanswered(
         self, key: bytes, flow: UpstreamFlow, now: float
--- a/bluebellfold/relay/upstreams/tests/test_relay.py
+++ b/bluebellfold/relay/upstreams/tests/test_relay.py
@@ -175,6 +175,22 @@
     assert agent.outlet.take(Declined)[0].reason == DECLINED_FULL
 
 
+def test_upstream_that_warms_up_is_full_sooner():
+    agent = agent_with_balancer(announced=False)
+    agent.announce(warmup_seconds=2)
+    for port in range(12):
+        offer(agent, opening_packet(client=('100.64.0.9', 1000 + port)))
+    assert len(agent.outlet.delivered) == 5
+
+
+def test_upstream_that_has_not_announced_itself_may_be_warming_up():
+    agent = agent_with_balancer(announced=False)
+    agent.wait(0.2)
+    assert last_load(agent).warming
+    agent.announce()
+    assert not last_load(agent).warming
+
+
 def test_opening_packet_that_the_upstream_gives_back_is_declined():
     agent = agent_with_balancer()
     packet = opening_packet()
