--- a/bluebellfold/relay/callers/tests/test_relay.py
+++ b/bluebellfold/relay/callers/tests/test_relay.py
@@ -332,6 +332,7 @@
     # After a power loss balancers know the list before agents listen.
     balancer = Balancer(agents=(FIRST, SECOND))
     balancer.hear(SECOND, report_of())
+    balancer.wait(0.1)
     balancer.outlet.told.clear()
     balancer.wait(0.1)
     assert [address for address, _ in balancer.outlet.take(Hello)] == [FIRST]
