--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -384,6 +384,12 @@
     meaning='a reset by an upstream that holds no such flow is kept back',
     remedy=NOTHING,
 )
+register(
+    number='BBF0740',
+    level=logging.WARNING,
+    meaning='an agent left an offer unanswered; the flow goes to another',
+    remedy='look whether the agent was stopped or cut off',
+)
 register(
     number='BBF0739',
     level=logging.INFO,
--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -47,11 +47,9 @@
         configuration = ConfigurationWatch(
             endpoint=process.store, front=self._front
         )
-        self._front.follow(configuration)
-        helpers = (
-            configuration,
-            AgentWatch(endpoint=process.store, front=self._front),
-        )
+        agents = AgentWatch(endpoint=process.store, front=self._front)
+        self._front.follow(configuration=configuration, agents=agents)
+        helpers = (configuration, agents)
         serve = partial(
             ProcessServer,
             journal=self._journal,
--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -26,6 +26,7 @@
     NotHeld,
     Offer,
     Seek,
+    Versions,
 )
 from bluebellfold.relay.agents.placing import (
     ALL_FULL,
@@ -65,6 +66,7 @@
     'STATE_NAMES',
     'Seek',
     'UNKNOWN',
+    'Versions',
     'UNREADABLE_MESSAGE',
     'decode_message',
     'encode_message',
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -15,11 +15,14 @@
     NotHeld,
     Offer,
     Seek,
+    Versions,
 )
 
-_HELLO = struct.Struct('>fIq')
-# Start, sequence, offers seen, state, flags, slots, busy, flows, version.
-_LOAD = struct.Struct('>QIIBBHHIq')
+# Idle seconds, offers sent, version, revision of the list of agents.
+_HELLO = struct.Struct('>fIqq')
+# Start, sequence, offers seen, state, flags, slots, busy, flows, version,
+# revision of the list of agents.
+_LOAD = struct.Struct('>QIIBBHHIqq')
 _WARMING = 1
 _CERTAIN = 2
 _COUNTER = 0xFFFFFFFF
@@ -129,15 +132,22 @@
 @ENCODERS.add(Hello)
 def _encode_hello(message: Hello) -> bytes:
     sent = message.offers_sent & _COUNTER
-    numbers = _HELLO.pack(message.idle_seconds, sent, message.version)
+    numbers = _HELLO.pack(
+        message.idle_seconds,
+        sent,
+        message.versions.configuration,
+        message.versions.agents,
+    )
     return bytes((_HELLO_KIND,)) + numbers
 
 
 @DECODERS.add(_HELLO_KIND)
 def _decode_hello(datagram: bytes, _: PacketReader) -> Any:
-    idle_seconds, offers_sent, version = _HELLO.unpack(datagram[1:])
+    numbers = _HELLO.unpack(datagram[1:])
     return Hello(
-        idle_seconds=idle_seconds, offers_sent=offers_sent, version=version
+        idle_seconds=numbers[0],
+        offers_sent=numbers[1],
+        versions=Versions(configuration=numbers[2], agents=numbers[3]),
     )
 
 
@@ -158,7 +168,8 @@
                 min(load.slots, _SHORT),
                 min(load.busy, _SHORT),
                 load.flows,
-                load.version,
+                load.versions.configuration,
+                load.versions.agents,
             ),
             bytes((len(service),)),
             service,
@@ -184,7 +195,7 @@
             slots=numbers[5],
             busy=numbers[6],
             flows=numbers[7],
-            version=numbers[8],
+            versions=Versions(configuration=numbers[8], agents=numbers[9]),
             service=datagram[numbers_end + 1 : service_end].decode(),
             zone=datagram[service_end:].decode(),
         ),
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -25,13 +25,26 @@
 )
 
 
+class Versions(Record):
+    """Name the newest configuration and list of agents that are known."""
+
+    __slots__ = ('_agents', '_configuration')
+
+    agents: int = read_only('_agents')
+    configuration: int = read_only('_configuration')
+
+    def __init__(self, *, configuration: int, agents: int) -> None:
+        self._configuration = configuration
+        self._agents = agents
+
+
 class AgentLoad(Record):
     """State what an agent knows of its upstream at one moment.
 
     ``busy`` counts requests in progress and flows about to open, ``flows``
     all open flows. ``certain`` tells that the agent knows every flow that
     its upstream holds. ``offers_seen`` counts the offers of the balancer
-    that is told, ``version`` the newest configuration that balancers named.
+    that is told, ``versions`` what balancers named as the newest.
     """
 
     __slots__ = (
@@ -44,7 +57,7 @@
         '_slots',
         '_start',
         '_state',
-        '_version',
+        '_versions',
         '_warming',
         '_zone',
     )
@@ -58,7 +71,7 @@
     slots: int = read_only('_slots')
     start: int = read_only('_start')
     state: int = read_only('_state')
-    version: int = read_only('_version')
+    versions: Versions = read_only('_versions')
     warming: bool = read_only('_warming')
     zone: str = read_only('_zone')
 
@@ -76,7 +89,7 @@
         warming: bool,
         certain: bool,
         offers_seen: int,
-        version: int,
+        versions: Versions,
     ) -> None:
         self._start = start
         self._sequence = sequence
@@ -89,7 +102,7 @@
         self._warming = warming
         self._certain = certain
         self._offers_seen = offers_seen
-        self._version = version
+        self._versions = versions
 
 
 class PacketMessage(Message):
@@ -160,21 +173,21 @@
     """Ask an agent to report its load for the next seconds.
 
     ``offers_sent`` lets the agent count on after offers that were lost.
-    ``version`` is the configuration in force at the balancer.
+    ``versions`` are those in force at the balancer.
     """
 
-    __slots__ = ('_idle_seconds', '_offers_sent', '_version')
+    __slots__ = ('_idle_seconds', '_offers_sent', '_versions')
 
     idle_seconds: float = read_only('_idle_seconds')
     offers_sent: int = read_only('_offers_sent')
-    version: int = read_only('_version')
+    versions: Versions = read_only('_versions')
 
     def __init__(
-        self, *, idle_seconds: float, offers_sent: int, version: int
+        self, *, idle_seconds: float, offers_sent: int, versions: Versions
     ) -> None:
         self._idle_seconds = idle_seconds
         self._offers_sent = offers_sent
-        self._version = version
+        self._versions = versions
 
 
 class LoadReport(Message):
--- a/bluebellfold/relay/agents/roster.py
+++ b/bluebellfold/relay/agents/roster.py
@@ -64,6 +64,11 @@
             under_way = 0
         return self._load.busy + under_way
 
+    @property
+    def reported_at(self) -> float:
+        """Return when the last report came, or the agent became known."""
+        return self._reported_at
+
     def age_seconds(self, now: float) -> float:
         """Return how long ago the agent reported, or became known."""
         return now - self._reported_at
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -14,6 +14,7 @@
     NotHeld,
     Offer,
     Seek,
+    Versions,
     decode_message,
 )
 from bluebellfold.relay.tests.scene import report_of, through_the_wire
@@ -31,8 +32,18 @@
         Offer(packet=opening_packet(), service='counter'),
         Declined(packet=opening_packet(), reason=3),
         Held(flow=PACKET.flow),
-        Hello(idle_seconds=15, offers_sent=7, version=12),
-        report_of(busy=3, flows=99, warming=True, certain=False, version=-1),
+        Hello(
+            idle_seconds=15,
+            offers_sent=7,
+            versions=Versions(configuration=12, agents=3),
+        ),
+        report_of(
+            busy=3,
+            flows=99,
+            warming=True,
+            certain=False,
+            versions=Versions(configuration=-1, agents=-1),
+        ),
     ],
     ids=lambda message: type(message).__name__,
 )
--- a/bluebellfold/relay/balancers/subscriptions.py
+++ b/bluebellfold/relay/balancers/subscriptions.py
@@ -88,6 +88,18 @@
         if known is not None:
             known.count_offer()
 
+    def offers_of(self, address: Address) -> int | None:
+        """Return the number of a balancer's offers, None if it isn't told."""
+        known = self._by_address.get(address)
+        return None if known is None else known.offers_seen
+
+    def find_tagged(self, tag: int) -> Address | None:
+        """Return the balancer that marked a packet, None if it is gone."""
+        for address in self._by_address:
+            if tag_of(address) == tag:
+                return address
+        return None
+
     def offers_by_address(self) -> list[tuple[Address, int]]:
         """Return each balancer with the number of its offers."""
         return [
@@ -105,3 +117,12 @@
         for address in silent:
             self._by_address.pop(address)
         return silent
+
+
+def tag_of(address: Address) -> int:
+    """Return the number that marks packets which a balancer brought.
+
+    >>> hex(tag_of(('10.0.0.1', 7720)))
+    '0xa000001'
+    """
+    return int.from_bytes(bytes(map(int, address[0].split('.'))))
--- a/bluebellfold/relay/callers/front.py
+++ b/bluebellfold/relay/callers/front.py
@@ -27,11 +27,12 @@
 from bluebellfold.relay.callers.relay import CallerRelay
 from bluebellfold.relay.collectors import Journal
 
-TICK_SECONDS = 0.1
+# Bounds how late an unanswered offer and an agent that starts are noticed.
+TICK_SECONDS = 0.05
 # The fabric asks twice a second and takes two misses for an end; its packets
 # keep coming until then.
 LEAVE_SECONDS = 1.7
-# How often the configuration is read anew while others have a newer one.
+# How often a kind is read anew while others have a newer one.
 REFRESH_SECONDS = 1.0
 
 
@@ -56,6 +57,7 @@
         self._journal = journal
         self._leaving = False
         self._configuration: Actor | None = None
+        self._agent_list: Actor | None = None
         self._refresh_due = clock.now()
         self._was_ready = False
         self._caller_socket: DatagramSocket | None = None
@@ -92,9 +94,10 @@
             loop.remove_reader(owned)
             owned.close()
 
-    def follow(self, configuration: Actor) -> None:
-        """Set the task that is told when it has missed a configuration."""
+    def follow(self, *, configuration: Actor, agents: Actor) -> None:
+        """Set the tasks that are told when they have missed a change."""
         self._configuration = configuration
+        self._agent_list = agents
 
     def tell_agent(self, address: Address, message: Message) -> None:
         """Send a message to an agent."""
@@ -119,7 +122,9 @@
 
     @reactions.add(ChangeAgents)
     def _change_agents(self, message: ChangeAgents) -> None:
-        self._relay.change_agents(message.addresses, self._clock.now())
+        self._relay.change_agents(
+            message.addresses, self._clock.now(), revision=message.revision
+        )
 
     @reactions.add(AskReadiness)
     def _answer_readiness(self, message: AskReadiness) -> None:
@@ -167,15 +172,18 @@
     def _tick(self) -> None:
         now = self._clock.now()
         self._relay.tick(now)
-        self._refresh_routes(now)
+        self._read_missed(now)
         loop = asyncio.get_running_loop()
         loop.call_later(TICK_SECONDS, self._tick)
 
-    def _refresh_routes(self, now: float) -> None:
-        if now < self._refresh_due or not self._relay.lags(now):
+    def _read_missed(self, now: float) -> None:
+        if now < self._refresh_due:
             return
-        self._refresh_due = now + REFRESH_SECONDS
-        if self._configuration is not None:
-            self._configuration.tell(
-                ReadAnew(reason='others have a newer version'),
-            )
+        lagging = []
+        if self._relay.routes_lag(now):
+            lagging.append(self._configuration)
+        if self._relay.agents_lag(now):
+            lagging.append(self._agent_list)
+        for watch in lagging:
+            self._refresh_due = now + REFRESH_SECONDS
+            watch.tell(ReadAnew(reason='others have a newer version'))
--- a/bluebellfold/relay/callers/messages.py
+++ b/bluebellfold/relay/callers/messages.py
@@ -27,14 +27,18 @@
 
 
 class ChangeAgents(Message):
-    """Take the list of agents that exist."""
+    """Take the list of agents that exist, at its newest revision."""
 
-    __slots__ = ('_addresses',)
+    __slots__ = ('_addresses', '_revision')
 
     addresses: tuple[Address, ...] = read_only('_addresses')
+    revision: int = read_only('_revision')
 
-    def __init__(self, *, addresses: tuple[Address, ...]) -> None:
+    def __init__(
+        self, *, addresses: tuple[Address, ...], revision: int
+    ) -> None:
         self._addresses = addresses
+        self._revision = revision
 
 
 class AskReadiness(Message):
--- a/bluebellfold/relay/callers/tests/test_relay.py
+++ b/bluebellfold/relay/callers/tests/test_relay.py
@@ -19,6 +19,7 @@
     report_of,
     route_to,
     table_of,
+    versions_of,
 )
 from bluebellfold.standins.packets import (
     ACKNOWLEDGE,
@@ -247,12 +248,14 @@
 
 def test_balancer_notices_that_others_have_a_newer_configuration():
     balancer = balancer_with(report_of())
-    balancer.hear(FIRST, report_of(sequence=2, version=5))
-    assert not balancer.relay.lags(balancer.now)
+    balancer.hear(
+        FIRST, report_of(sequence=2, versions=versions_of(configuration=5))
+    )
+    assert not balancer.relay.routes_lag(balancer.now)
     balancer.wait(0.4)
-    assert balancer.relay.lags(balancer.now)
+    assert balancer.relay.routes_lag(balancer.now)
     balancer.relay.change_routes(table_of(version=5), now=balancer.now)
-    assert not balancer.relay.lags(balancer.now)
+    assert not balancer.relay.routes_lag(balancer.now)
 
 
 def test_packets_of_an_open_flow_go_to_its_agent():
@@ -275,6 +278,57 @@
     assert balancer.outlet.take(Carry) == [(THIRD, Carry(packet=DATA))]
 
 
+def test_flow_is_not_reset_while_others_know_an_agent_more():
+    # The watch of the list has fallen silent, and the flow may be open at an
+    # agent that was added since.
+    balancer = balancer_with(
+        report_of(), report_of(versions=versions_of(agents=7))
+    )
+    balancer.receive(DATA)
+    for agent in (FIRST, SECOND):
+        balancer.hear(agent, NotHeld(packet=DATA))
+    assert not balancer.outlet.resets
+    balancer.wait(0.4)
+    assert balancer.relay.agents_lag(balancer.now)
+    balancer.relay.change_agents(
+        (FIRST, SECOND, THIRD), balancer.now, revision=7
+    )
+    assert not balancer.relay.agents_lag(balancer.now)
+    balancer.receive(DATA)
+    assert THIRD in [address for address, _ in balancer.outlet.take(Seek)]
+
+
+def test_offer_to_an_agent_that_was_killed_goes_to_another():
+    # Its last report is still fresh, and the client repeats its opening
+    # packet only after 0.2 s.
+    balancer = balancer_with(report_of(), report_of(busy=1))
+    balancer.receive(opening_packet())
+    assert [address for address, _ in balancer.outlet.take(Offer)] == [FIRST]
+    balancer.wait(0.12)
+    assert [address for address, _ in balancer.outlet.take(Offer)] == [SECOND]
+    balancer.receive(opening_packet(client=('100.64.0.9', 1)))
+    assert [address for address, _ in balancer.outlet.take(Offer)] == [SECOND]
+
+
+def test_offer_is_left_where_the_agent_has_reported_since():
+    balancer = balancer_with(report_of(), report_of(busy=1))
+    balancer.receive(opening_packet())
+    balancer.clock.advance(0.01)
+    balancer.hear(FIRST, report_of(sequence=2, offers_seen=1))
+    balancer.outlet.told.clear()
+    balancer.wait(0.12)
+    assert not balancer.outlet.take(Offer)
+
+
+def test_flow_whose_client_goes_on_is_not_offered_again():
+    balancer = balancer_with(report_of(), report_of(busy=1))
+    balancer.receive(opening_packet())
+    balancer.receive(DATA)
+    balancer.outlet.told.clear()
+    balancer.wait(0.12)
+    assert not balancer.outlet.take(Offer)
+
+
 def test_flow_that_nobody_holds_is_reset_once_all_have_said_so():
     balancer = balancer_with(report_of(), report_of())
     balancer.receive(DATA)
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -51,6 +51,7 @@
         )
         self._front = front
         self._addresses: dict[str, Address] = {}
+        self._newest_revision = 0
 
     def replace_all(self, changes: Changes) -> None:
         """Take the whole list."""
@@ -69,8 +70,15 @@
                 note(_log, 'BBF0732', object_name=name)
                 continue
             self._addresses[name] = address
+            # The revision of the last agent that was added: it is the same
+            # for all who know that agent, whenever they read the list.
+            self._newest_revision = max(
+                self._newest_revision, change.stored.revision
+            )
         listed = tuple(sorted(set(self._addresses.values())))
-        self._front.tell(ChangeAgents(addresses=listed))
+        self._front.tell(
+            ChangeAgents(addresses=listed, revision=self._newest_revision),
+        )
 
 
 class AgentRegistrar(Actor):
--- a/bluebellfold/relay/tests/scene.py
+++ b/bluebellfold/relay/tests/scene.py
@@ -16,7 +16,9 @@
 from bluebellfold.relay.agents import (
     READY,
     AgentLoad,
+    Hello,
     LoadReport,
+    Versions,
     decode_message,
     encode_message,
 )
@@ -62,6 +64,10 @@
     return Announcement(**{**fields, **changes})
 
 
+def versions_of(*, configuration=1, agents=0):
+    return Versions(configuration=configuration, agents=agents)
+
+
 def report_of(*, sequence=1, start=1, **changes):
     fields = {
         'start': start,
@@ -75,11 +81,20 @@
         'warming': False,
         'certain': True,
         'offers_seen': 0,
-        'version': 1,
+        'versions': versions_of(),
     }
     return LoadReport(load=AgentLoad(**{**fields, **changes}))
 
 
+def hello_of(**changes):
+    fields = {
+        'idle_seconds': 15,
+        'offers_sent': 0,
+        'versions': versions_of(),
+    }
+    return Hello(**{**fields, **changes})
+
+
 def journal_of(clock):
     return Journal(logger=logging.getLogger('bluebellfold.test'), clock=clock)
 
--- a/bluebellfold/relay/upstreams/front.py
+++ b/bluebellfold/relay/upstreams/front.py
@@ -22,6 +22,7 @@
     tag_packet,
 )
 from bluebellfold.relay.agents import Address, decode_message, encode_message
+from bluebellfold.relay.balancers import tag_of
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.messages import (
@@ -29,7 +30,7 @@
     TakeAnnouncement,
     TakeWithdrawal,
 )
-from bluebellfold.relay.upstreams.relay import UpstreamRelay, tag_of
+from bluebellfold.relay.upstreams.relay import UpstreamRelay
 
 # Bounds how late an unanswered opening packet is noticed.
 TICK_SECONDS = 0.05
--- a/bluebellfold/relay/upstreams/tests/test_relay.py
+++ b/bluebellfold/relay/upstreams/tests/test_relay.py
@@ -12,14 +12,19 @@
     Carry,
     Declined,
     Held,
-    Hello,
     LoadReport,
     NotHeld,
     Offer,
     Seek,
 )
-from bluebellfold.relay.tests.scene import COUNTER, Agent, only
-from bluebellfold.relay.upstreams.relay import tag_of
+from bluebellfold.relay.balancers import tag_of
+from bluebellfold.relay.tests.scene import (
+    COUNTER,
+    Agent,
+    hello_of,
+    only,
+    versions_of,
+)
 from bluebellfold.standins.packets import (
     ACKNOWLEDGE,
     FINISH,
@@ -38,7 +43,7 @@
 DATA = client_packet(
     flags=ACKNOWLEDGE, acknowledged=ANSWER_SEQUENCE + 1, payload=b'GET /'
 )
-HELLO = Hello(idle_seconds=15, offers_sent=0, version=1)
+HELLO = hello_of()
 
 
 def agent_with_balancer(**fields):
@@ -85,6 +90,15 @@
     assert agent.outlet.to_clients == [ANSWER]
 
 
+def test_balancer_that_offers_a_flow_is_told_the_load_at_once():
+    agent = agent_with_balancer()
+    agent.hear(OTHER, HELLO)
+    agent.outlet.told.clear()
+    offer(agent)
+    address, report = only(agent.outlet.told)
+    assert (address, report.load.busy) == (BALANCER, 1)
+
+
 def test_draining_upstream_takes_no_new_flow_from_its_acknowledgement_on():
     agent = agent_with_balancer()
     agent.announce(sequence=2, draining=True)
@@ -440,7 +454,7 @@
 
 def test_lost_offers_are_counted_by_the_next_hello():
     agent = agent_with_balancer()
-    agent.hear(BALANCER, Hello(idle_seconds=15, offers_sent=9, version=1))
+    agent.hear(BALANCER, hello_of(offers_sent=9))
     agent.wait(0.3)
     assert last_load(agent).offers_seen == 9
 
@@ -456,6 +470,6 @@
 
 def test_newest_version_that_balancers_named_is_reported():
     agent = agent_with_balancer()
-    agent.hear(OTHER, Hello(idle_seconds=15, offers_sent=0, version=8))
+    agent.hear(OTHER, hello_of(versions=versions_of(configuration=8)))
     agent.wait(0.3)
-    assert last_load(agent).version == 8
+    assert last_load(agent).versions.configuration == 8
