--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -26,6 +26,7 @@
     NotHeld,
     Offer,
     Seek,
+    Served,
     Versions,
 )
 from bluebellfold.relay.agents.placing import (
@@ -65,6 +66,7 @@
     'Roster',
     'STATE_NAMES',
     'Seek',
+    'Served',
     'UNKNOWN',
     'Versions',
     'UNREADABLE_MESSAGE',
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -15,16 +15,15 @@
     NotHeld,
     Offer,
     Seek,
+    Served,
     Versions,
 )
 
 # Idle seconds, offers sent, version, revision of the list of agents.
 _HELLO = struct.Struct('>fIqq')
-# Start, sequence, offers seen, state, flags, slots, busy, flows, version,
-# revision of the list of agents.
-_LOAD = struct.Struct('>QIIBBHHIqq')
-_WARMING = 1
-_CERTAIN = 2
+# Start, sequence, offers seen, state, warming, slots, busy, flows, version,
+# revision of the list of agents, work on a request, share of failures.
+_LOAD = struct.Struct('>QIIBBHHIqqff')
 _COUNTER = 0xFFFFFFFF
 _SHORT = 0xFFFF
 FLOW_BYTES = 12
@@ -154,7 +153,6 @@
 @ENCODERS.add(LoadReport)
 def _encode_report(message: LoadReport) -> bytes:
     load = message.load
-    flags = _WARMING * load.warming | _CERTAIN * load.certain
     service = load.service.encode()
     return b''.join(
         (
@@ -164,12 +162,14 @@
                 load.sequence & _COUNTER,
                 load.offers_seen & _COUNTER,
                 load.state,
-                flags,
+                load.warming,
                 min(load.slots, _SHORT),
                 min(load.busy, _SHORT),
                 load.flows,
                 load.versions.configuration,
                 load.versions.agents,
+                load.served.work_seconds,
+                load.served.failure_share,
             ),
             bytes((len(service),)),
             service,
@@ -183,19 +183,18 @@
     numbers_end = 1 + _LOAD.size
     numbers = _LOAD.unpack(datagram[1:numbers_end])
     service_end = numbers_end + 1 + datagram[numbers_end]
-    flags = numbers[4]
     return LoadReport(
         load=AgentLoad(
             start=numbers[0],
             sequence=numbers[1],
             offers_seen=numbers[2],
             state=numbers[3],
-            warming=bool(flags & _WARMING),
-            certain=bool(flags & _CERTAIN),
+            warming=bool(numbers[4]),
             slots=numbers[5],
             busy=numbers[6],
             flows=numbers[7],
             versions=Versions(configuration=numbers[8], agents=numbers[9]),
+            served=Served(work_seconds=numbers[10], failure_share=numbers[-1]),
             service=datagram[numbers_end + 1 : service_end].decode(),
             zone=datagram[service_end:].decode(),
         ),
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -38,21 +38,37 @@
         self._agents = agents
 
 
+class Served(Record):
+    """State how an upstream served its late requests.
+
+    ``work_seconds`` is the mean work on one, 0 before the first, and
+    ``failure_share`` the part that failed, from 0 to 1.
+    """
+
+    __slots__ = ('_failure_share', '_work_seconds')
+
+    failure_share: float = read_only('_failure_share')
+    work_seconds: float = read_only('_work_seconds')
+
+    def __init__(self, *, work_seconds: float, failure_share: float) -> None:
+        self._work_seconds = work_seconds
+        self._failure_share = failure_share
+
+
 class AgentLoad(Record):
     """State what an agent knows of its upstream at one moment.
 
     ``busy`` counts requests in progress and flows about to open, ``flows``
-    all open flows. ``certain`` tells that the agent knows every flow that
-    its upstream holds. ``offers_seen`` counts the offers of the balancer
-    that is told, ``versions`` what balancers named as the newest.
+    all open flows. ``offers_seen`` counts the offers of the balancer that is
+    told, ``versions`` what balancers named as the newest.
     """
 
     __slots__ = (
         '_busy',
-        '_certain',
         '_flows',
         '_offers_seen',
         '_sequence',
+        '_served',
         '_service',
         '_slots',
         '_start',
@@ -63,10 +79,10 @@
     )
 
     busy: int = read_only('_busy')
-    certain: bool = read_only('_certain')
     flows: int = read_only('_flows')
     offers_seen: int = read_only('_offers_seen')
     sequence: int = read_only('_sequence')
+    served: Served = read_only('_served')
     service: str = read_only('_service')
     slots: int = read_only('_slots')
     start: int = read_only('_start')
@@ -87,7 +103,7 @@
         busy: int,
         flows: int,
         warming: bool,
-        certain: bool,
+        served: Served,
         offers_seen: int,
         versions: Versions,
     ) -> None:
@@ -100,7 +116,7 @@
         self._busy = busy
         self._flows = flows
         self._warming = warming
-        self._certain = certain
+        self._served = served
         self._offers_seen = offers_seen
         self._versions = versions
 
--- a/bluebellfold/relay/agents/placing.py
+++ b/bluebellfold/relay/agents/placing.py
@@ -2,10 +2,12 @@
 
 Answers uneven load: long flows that piled up where the first packets came
 through, upstreams that returned cold, and bursts of flows with one request
-each, which only the number of requests in progress shows.
+each, which only the number of requests in progress shows. Upstreams that turn
+slow and that fail requests: they are known by what they served.
 """
 
 from collections.abc import Callable, Collection, Iterable
+from statistics import median_low
 
 from bluebellfold.core import Record, Registry, Sentinel, read_only
 from bluebellfold.relay.agents.roster import Address, AgentView
@@ -13,6 +15,13 @@
 DEFAULT_RULE = 'least-work'
 # An upstream that warms up works about 1.6 times as long on a request.
 WARMING_FACTOR = 1.6
+# Upstreams differ by less than this in what requests they happen to get.
+SLOW_FROM = 1.5
+# Keeps one odd measurement from shutting an upstream out.
+MOST_SLOWNESS = 8.0
+# With a quarter of its late requests failed, any other upstream serves
+# clients better, also one whose queue is nearly full.
+FAILING_SHARE = 0.25
 # Another zone costs a millisecond and the price of its bytes: worth it for
 # a twentieth of a request in progress.
 OTHER_ZONE_COST = 0.05
@@ -33,11 +42,16 @@
 
 
 class Question(Record):
-    """Ask where a new flow goes; ``zone`` is the balancer's own."""
+    """Ask where a new flow goes.
 
-    __slots__ = ('_draw', '_views', '_zone')
+    ``zone`` is the balancer's own, ``usual_seconds`` the work on a request at
+    most upstreams of the service.
+    """
+
+    __slots__ = ('_draw', '_usual_seconds', '_views', '_zone')
 
     draw: Callable[[], float] = read_only('_draw')
+    usual_seconds: float = read_only('_usual_seconds')
     views: tuple[AgentView, ...] = read_only('_views')
     zone: str = read_only('_zone')
 
@@ -47,10 +61,12 @@
         views: tuple[AgentView, ...],
         zone: str,
         draw: Callable[[], float],
+        usual_seconds: float,
     ) -> None:
         self._views = views
         self._zone = zone
         self._draw = draw
+        self._usual_seconds = usual_seconds
 
 
 Rule = Callable[[Question], AgentView]
@@ -75,18 +91,39 @@
     ]
     if not able:
         return NO_AGENT
-    roomy = tuple(view for view in able if not is_full(view))
+    # Where all fail, the cause is likely elsewhere.
+    sound = [view for view in able if not is_failing(view)] or able
+    usual_seconds = _find_usual(sound)
+    roomy = tuple(view for view in sound if not is_full(view, usual_seconds))
     if not roomy:
         return ALL_FULL
-    return RULES.find(rule)(Question(views=roomy, zone=zone, draw=draw))
+    question = Question(
+        views=roomy, zone=zone, draw=draw, usual_seconds=usual_seconds
+    )
+    return RULES.find(rule)(question)
+
+
+def is_failing(view: AgentView) -> bool:
+    """Tell whether the upstream fails many of its requests."""
+    return view.load.served.failure_share >= FAILING_SHARE
 
 
-def is_full(view: AgentView) -> bool:
+def is_full(view: AgentView, usual_seconds: float) -> bool:
     """Tell whether one more request would wait too long at the upstream."""
+    room = view.load.slots * FULL_BUSY_PER_SLOT
+    return view.busy >= room / slowness(view, usual_seconds)
+
+
+def slowness(view: AgentView, usual_seconds: float) -> float:
+    """Return how many times as long as usual the upstream works, from 1 on."""
     load = view.load
-    return view.busy >= room_for(
-        FULL_BUSY_PER_SLOT, slots=load.slots, warming=load.warming
-    )
+    least = WARMING_FACTOR if load.warming else 1
+    if not usual_seconds:
+        return least
+    measured = load.served.work_seconds / usual_seconds
+    if measured < SLOW_FROM:
+        return least
+    return max(least, min(measured, MOST_SLOWNESS))
 
 
 def room_for(busy_per_slot: float, *, slots: int, warming: bool) -> float:
@@ -125,20 +162,24 @@
     """
     flows = sum(view.load.flows for view in question.views)
     busy = sum(view.busy for view in question.views)
-    busy_per_flow = busy / max(flows, 1)
+    busy_per_flow = min(busy / max(flows, 1), 1)
     return min(
         question.views,
         key=lambda view: (
-            _work(view, busy_per_flow, question.zone),
+            _work(view, busy_per_flow, question),
             question.draw(),
         ),
     )
 
 
-def _work(view: AgentView, busy_per_flow: float, zone: str) -> float:
+def _work(view: AgentView, busy_per_flow: float, question: Question) -> float:
     load = view.load
-    expected = view.busy + 1 + load.flows * min(busy_per_flow, 1)
-    work = expected / load.slots
-    if load.warming:
-        work *= WARMING_FACTOR
-    return work if load.zone == zone else work + OTHER_ZONE_COST
+    expected = view.busy + 1 + load.flows * busy_per_flow
+    work = expected / load.slots * slowness(view, question.usual_seconds)
+    return work if load.zone == question.zone else work + OTHER_ZONE_COST
+
+
+def _find_usual(views: Iterable[AgentView]) -> float:
+    served = [view.load.served.work_seconds for view in views]
+    known = [seconds for seconds in served if seconds]
+    return median_low(known) if known else 0
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -14,6 +14,7 @@
     NotHeld,
     Offer,
     Seek,
+    Served,
     Versions,
     decode_message,
 )
@@ -41,7 +42,7 @@
             busy=3,
             flows=99,
             warming=True,
-            certain=False,
+            served=Served(work_seconds=0.5, failure_share=0.25),
             versions=Versions(configuration=-1, agents=-1),
         ),
     ],
--- a/bluebellfold/relay/tests/scene.py
+++ b/bluebellfold/relay/tests/scene.py
@@ -18,6 +18,7 @@
     AgentLoad,
     Hello,
     LoadReport,
+    Served,
     Versions,
     decode_message,
     encode_message,
@@ -68,6 +69,10 @@
     return Versions(configuration=configuration, agents=agents)
 
 
+def served_of(*, work_seconds=0, failure_share=0):
+    return Served(work_seconds=work_seconds, failure_share=failure_share)
+
+
 def report_of(*, sequence=1, start=1, **changes):
     fields = {
         'start': start,
@@ -79,7 +84,7 @@
         'busy': 0,
         'flows': 0,
         'warming': False,
-        'certain': True,
+        'served': served_of(),
         'offers_seen': 0,
         'versions': versions_of(),
     }
--- a/bluebellfold/relay/upstreams/carriage.py
+++ b/bluebellfold/relay/upstreams/carriage.py
@@ -19,6 +19,7 @@
 )
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.outlet import Outlet
+from bluebellfold.relay.upstreams.performance import Performance
 from bluebellfold.relay.upstreams.standing import Standing
 
 MILLISECONDS = 1000
@@ -32,6 +33,7 @@
         '_health',
         '_journal',
         '_outlet',
+        '_performance',
         '_sought',
         '_standing',
     )
@@ -42,12 +44,14 @@
         standing: Standing,
         health: UpstreamHealth,
         flows: FlowTable,
+        performance: Performance,
         outlet: Outlet,
         journal: Journal,
     ) -> None:
         self._standing = standing
         self._health = health
         self._flows = flows
+        self._performance = performance
         self._outlet = outlet
         self._journal = journal
         self._sought: dict[bytes, dict[Address, Packet]] = {}
@@ -143,6 +147,8 @@
             return
         if flow.state != OFFERED:
             flow.confirm()
+        if packet.resets and flow.requested_at is not None:
+            self._performance.note_failure(now=now)
         if flow.send_to_client(packet, now):
             self._end_request(packet, flow, now)
 
@@ -174,14 +180,15 @@
     def _begin_request(
         self, packet: Packet, flow: UpstreamFlow, now: float
     ) -> None:
-        flow.begin_request(self._outlet.request_id(packet))
+        busy = self._flows.busy(now)
+        flow.begin_request(self._outlet.request_id(packet), busy=busy)
         self._standing.change()
         self._journal.count('requests')
         self._journal.note(
             'BBF0723',
             request=flow.request_id,
             flow=show_flow(packet.flow),
-            busy=self._flows.busy(now),
+            busy=busy,
             slots=self._health.slots,
         )
 
@@ -190,6 +197,13 @@
     ) -> None:
         seconds = now - flow.requested_at
         status = self._outlet.status(packet)
+        self._performance.note_answer(
+            seconds,
+            busy=flow.busy_before,
+            slots=self._health.slots,
+            status=status,
+            now=now,
+        )
         flow.end_request()
         self._standing.change()
         self._journal.observe(seconds)
--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -28,11 +28,13 @@
     __slots__ = (
         '_answer_sequence',
         '_balancer',
+        '_busy_before',
         '_client_finished',
         '_client_sequence',
         '_confirmed',
         '_created_at',
         '_finished',
+        '_hangs',
         '_opening',
         '_request_id',
         '_requested_at',
@@ -57,6 +59,13 @@
         self._finished = False
         self._client_finished = False
         self._confirmed = False
+        self._busy_before = 0
+        self._hangs = False
+
+    @property
+    def busy_before(self) -> int:
+        """Return what was in progress when the last request began."""
+        return self._busy_before
 
     @property
     def balancer(self) -> Address | None:
@@ -175,9 +184,18 @@
         self._sent_to_client = end
         return self._requested_at is not None
 
-    def begin_request(self, request_id: str) -> None:
-        """Note the id of the request that begins."""
+    def begin_request(self, request_id: str, *, busy: int) -> None:
+        """Note the id of the request, and what is in progress with it."""
         self._request_id = request_id
+        self._busy_before = busy
+        self._hangs = False
+
+    def notice_hanging(self, before: float) -> bool:
+        """Tell once that a request is without an answer since a moment."""
+        if self._hangs or self._requested_at is None:
+            return False
+        self._hangs = self._requested_at < before
+        return self._hangs
 
     def end_request(self) -> None:
         """Note that the request in progress is answered or given up."""
@@ -243,6 +261,10 @@
             if flow.state == OFFERED and flow.used_at < before
         ]
 
+    def count_hanging(self, before: float) -> int:
+        """Return how many requests hang that didn't at the last call."""
+        return sum(flow.notice_hanging(before) for flow in self._flows.values())
+
     def expire(self, *, idle_before: float, half_open_before: float) -> int:
         """Forget idle flows and those that never opened; return how many."""
         over = []
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -18,6 +18,10 @@
 )
 from bluebellfold.relay.upstreams.intake import Intake
 from bluebellfold.relay.upstreams.outlet import Outlet
+from bluebellfold.relay.upstreams.performance import (
+    HANGING_SECONDS,
+    Performance,
+)
 from bluebellfold.relay.upstreams.standing import Standing
 
 # A client gives up an opening flow after 1.4 s.
@@ -37,6 +41,7 @@
         '_health',
         '_intake',
         '_journal',
+        '_performance',
         '_standing',
         '_sweep_due',
     )
@@ -54,11 +59,13 @@
         self._health = health
         self._journal = journal
         self._flows = FlowTable()
+        self._performance = Performance(now=now)
         self._standing = Standing(
             zone=zone,
             start=start,
             health=health,
             flows=self._flows,
+            performance=self._performance,
             outlet=outlet,
             journal=journal,
             now=now,
@@ -74,6 +81,7 @@
             standing=self._standing,
             health=health,
             flows=self._flows,
+            performance=self._performance,
             outlet=outlet,
             journal=journal,
         )
@@ -120,6 +128,7 @@
             )
             return False
         if taken:
+            self._performance.begin_anew(now)
             self._forget_flows(now, 'a new start of the upstream')
         self._standing.note_state(now, announcement)
         return True
@@ -155,6 +164,8 @@
     def tick(self, now: float) -> None:
         """Do what is due; call this when a report is due at the latest."""
         self._intake.tick(now)
+        for _ in range(self._flows.count_hanging(now - HANGING_SECONDS)):
+            self._performance.note_failure(now=now)
         if self._standing.has_changed(now):
             self._standing.note_state(now)
         if now >= self._standing.report_due:
--- a/bluebellfold/relay/upstreams/standing.py
+++ b/bluebellfold/relay/upstreams/standing.py
@@ -10,6 +10,7 @@
     AgentLoad,
     Hello,
     LoadReport,
+    Served,
     Versions,
 )
 from bluebellfold.relay.balancers import Subscriptions
@@ -17,6 +18,7 @@
 from bluebellfold.relay.upstreams.flows import FlowTable
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.outlet import Outlet
+from bluebellfold.relay.upstreams.performance import Performance
 
 # How long flows are remembered until a balancer has told the idle time; the
 # oldest flow that the platform keeps.
@@ -38,6 +40,7 @@
         '_health',
         '_journal',
         '_outlet',
+        '_performance',
         '_reported_at',
         '_reported_state',
         '_sequence',
@@ -56,6 +59,7 @@
         start: int,
         health: UpstreamHealth,
         flows: FlowTable,
+        performance: Performance,
         outlet: Outlet,
         journal: Journal,
         now: float,
@@ -64,6 +68,7 @@
         self._start = start
         self._health = health
         self._flows = flows
+        self._performance = performance
         self._outlet = outlet
         self._journal = journal
         self._subscriptions = Subscriptions()
@@ -210,7 +215,10 @@
             busy=busy,
             flows=len(self._flows),
             warming=self._health.is_warming(now),
-            certain=self.is_certain(now),
+            served=Served(
+                work_seconds=self._performance.work_seconds,
+                failure_share=self._performance.failure_share(now),
+            ),
             offers_seen=offers_seen,
             versions=self._versions,
         )
