Keep one client of the platform's store

store/client.py kept versioned texts over an object API of our own, beside the adapter's client. It now keeps them as objects of the platform's store, through that client: a text holds its version and the operations of its late writes, and a write is conditional on the store's revision.

--- a/bluebellfold/platform/__init__.py
+++ b/bluebellfold/platform/__init__.py
@@ -15,7 +15,9 @@
 from bluebellfold.platform.objects import (
     Changes,
     HISTORY_GONE,
+    MISSING_OBJECT,
     ObjectStoreClient,
+    REVISION_CONFLICT,
     StoredObject,
     StoreError,
 )
@@ -43,7 +45,9 @@
     'Changes',
     'HISTORY_GONE',
     'MALFORMED',
+    'MISSING_OBJECT',
     'ObjectStoreClient',
+    'REVISION_CONFLICT',
     'ReadinessAsked',
     'StoreError',
     'StoredObject',
--- a/bluebellfold/platform/objects.py
+++ b/bluebellfold/platform/objects.py
@@ -82,6 +82,7 @@
 class ObjectStoreClient:
     """Call the store over one kept connection, one call at a time.
 
+    ``timeout_seconds`` of a call is for that call alone.
     Every method raises PlatformUnavailableError when no answer came or the
     store turned the call away, and PlatformAnswerError for an answer that
     a retry would not change. A write that raised may still be executed.
@@ -98,7 +99,9 @@
         self._transport = Transport(endpoint=endpoint)
         self._timeout_seconds = timeout_seconds
 
-    async def list_objects(self, kind: str) -> Changes:
+    async def list_objects(
+        self, kind: str, *, timeout_seconds: float | None = None
+    ) -> Changes:
         """Return all objects of a kind, and the revision of the first page.
 
         Changes made between two pages come again with the first watch.
@@ -109,7 +112,10 @@
         more = True
         while more:
             query = {'after': after} if after else {}
-            fields = _fields_of(await self._get(_target(kind, query=query)))
+            answer = await self._get(
+                _target(kind, query=query), timeout_seconds=timeout_seconds
+            )
+            fields = _fields_of(answer)
             page = fields.get('items', ())
             listed.extend(
                 Change(stored=_stored(shown), deleted=False) for shown in page
@@ -125,6 +131,7 @@
         *,
         revision: int,
         wait_seconds: float,
+        timeout_seconds: float | None = None,
     ) -> Changes | Sentinel:
         """Return the changes after a revision, or HISTORY_GONE."""
         query = {
@@ -133,6 +140,7 @@
         }
         answer = await self._get(
             _target(kind, query=query),
+            timeout_seconds=timeout_seconds,
             wait_seconds=wait_seconds,
             accepted=(HTTPStatus.GONE,),
         )
@@ -144,37 +152,49 @@
             revision=int(fields['StoreRevision']),
         )
 
-    async def read(self, kind: str, name: str) -> StoredObject | Sentinel:
+    async def read(
+        self, kind: str, name: str, *, timeout_seconds: float | None = None
+    ) -> StoredObject | Sentinel:
         """Return the object, or MISSING_OBJECT."""
         answer = await self._get(
             _target(kind, name),
+            timeout_seconds=timeout_seconds,
             accepted=(HTTPStatus.NOT_FOUND,),
         )
         if answer.status == HTTPStatus.NOT_FOUND:
             return MISSING_OBJECT
         return _stored(_fields_of(answer))
 
-    async def create(self, kind: str, name: str, spec: Any) -> Sentinel | None:
-        """Create an object; return REVISION_CONFLICT if there is one."""
+    async def create(
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        *,
+        timeout_seconds: float | None = None,
+    ) -> StoredObject | Sentinel:
+        """Return the object as created, REVISION_CONFLICT if there is one."""
         answer = await self._call(
             Call(
                 method='POST',
                 target=_target(kind),
                 body=_encode({'meta': {'Name': name}, 'spec': spec}),
             ),
+            timeout_seconds=timeout_seconds,
             accepted=(HTTPStatus.CONFLICT,),
         )
-        conflict = answer.status == HTTPStatus.CONFLICT
-        return REVISION_CONFLICT if conflict else None
+        return _written(answer)
 
     async def replace(
         self,
         kind: str,
         stored: StoredObject,
-    ) -> Sentinel | None:
+        *,
+        timeout_seconds: float | None = None,
+    ) -> StoredObject | Sentinel:
         """Replace an object whose revision is still the one that is given.
 
-        Return REVISION_CONFLICT or MISSING_OBJECT if it is not.
+        Return it as written, REVISION_CONFLICT or MISSING_OBJECT.
         """
         meta = {'Name': stored.name, 'Revision': stored.revision}
         answer = await self._call(
@@ -183,9 +203,10 @@
                 target=_target(kind, stored.name),
                 body=_encode({'meta': meta, 'spec': stored.spec}),
             ),
+            timeout_seconds=timeout_seconds,
             accepted=(HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND),
         )
-        return _lost_race(answer)
+        return _written(answer)
 
     async def delete(
         self,
@@ -211,11 +232,13 @@
         self,
         target: str,
         *,
+        timeout_seconds: float | None = None,
         wait_seconds: float = 0,
         accepted: tuple[int, ...] = (),
     ) -> Answer:
         return await self._call(
             Call(method='GET', target=target),
+            timeout_seconds=timeout_seconds,
             wait_seconds=wait_seconds,
             accepted=accepted,
         )
@@ -224,15 +247,21 @@
         self,
         call: Call,
         *,
+        timeout_seconds: float | None = None,
         wait_seconds: float = 0,
         accepted: tuple[int, ...] = (),
     ) -> Answer:
+        patience = timeout_seconds or self._timeout_seconds
         answer = await self._transport.call(
-            call,
-            timeout_seconds=self._timeout_seconds + wait_seconds,
+            call, timeout_seconds=patience + wait_seconds
         )
         if answer.status in accepted:
             return answer
+        if answer.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            raise PlatformAnswerError(
+                problem='an object is larger than the store takes',
+                remedy='keep each object under a megabyte, or split it',
+            )
         if answer.status in _REFUSED:
             raise PlatformUnavailableError(
                 problem=f'the store turned a call away: {answer.status}',
@@ -295,6 +324,11 @@
     )
 
 
+def _written(answer: Answer) -> StoredObject | Sentinel:
+    lost = _lost_race(answer)
+    return _stored(_fields_of(answer)) if lost is None else lost
+
+
 def _lost_race(answer: Answer) -> Sentinel | None:
     if answer.status == HTTPStatus.CONFLICT:
         return REVISION_CONFLICT
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -133,8 +133,7 @@
         # the same: nothing is left to write.
         name = self._address[0]
         spec = {'host': name, 'port': self._address[1]}
-        taken = await self._client.create(AGENTS_KIND, name, spec)
-        if taken is None:
+        if await self._client.create(AGENTS_KIND, name, spec):
             return
         stored = await self._client.read(AGENTS_KIND, name)
         if stored and stored.spec != spec:
--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -13,7 +13,8 @@
 from bluebellfold.core import Endpoint, PlatformUnavailableError
 from bluebellfold.core.calls import Answer, Call, Transport
 from bluebellfold.standins.child import Child
-from bluebellfold.standins.kind_store import KindStore
+from bluebellfold.standins.object_api import PlatformStandin
+from bluebellfold.standins.object_store import ObjectStore
 from bluebellfold.standins.packets import SERVICE
 from bluebellfold.standins.relay_ends import StandinClient, StandinUpstream
 
@@ -88,7 +89,7 @@
     """Hold a store, balancers, and agents each beside an upstream."""
 
     def __init__(self, *, folder: Path) -> None:
-        self.store = KindStore()
+        self.platform = PlatformStandin()
         self.balancers: list[Child] = []
         self.agents: list[Child] = []
         self.upstreams: list[StandinUpstream] = []
@@ -97,6 +98,11 @@
         self._turn = itertools.count()
         self._sequences = itertools.count(1)
 
+    @property
+    def store(self) -> ObjectStore:
+        """Return the objects that the platform holds."""
+        return self.platform.store
+
     @asynccontextmanager
     async def running(
         self, *, balancers: int, agents: int
@@ -186,8 +192,8 @@
         await asyncio.gather(*(child.wait() for child in children))
 
     async def _start_all(self, balancers: int, agents: int) -> None:
-        await self.store.start()
-        self._stack.push_async_callback(self.store.stop)
+        await self.platform.start()
+        self._stack.push_async_callback(self.platform.stop)
         self.store.put('config', 'main', configuration_of(1, SERVICE[1]))
         for number in range(agents):
             self._add_upstream(number)
@@ -232,7 +238,7 @@
                 upstream=UPSTREAM_PORT,
                 metrics=METRICS_PORT,
                 beat=BEAT_MILLISECONDS,
-                store=self.store.endpoint,
+                store=self.platform.endpoint,
             ),
             encoding='utf-8',
         )
--- a/bluebellfold/store/__init__.py
+++ b/bluebellfold/store/__init__.py
@@ -7,7 +7,8 @@
     adopt,
 )
 from bluebellfold.core.backoff import Backoff
-from bluebellfold.store.client import MISSING, UNCHANGED, ObjectClient
+from bluebellfold.platform import MISSING_OBJECT
+from bluebellfold.store.client import UNCHANGED, ObjectClient
 from bluebellfold.store.configuration import (
     ConfigurationTask,
     configuration_object,
@@ -34,7 +35,7 @@
     Offer,
     PublishMember,
     RemoveMembers,
-    StoredObject,
+    StoredText,
     Subscribe,
 )
 from bluebellfold.store.row_changes import NOTHING_NEWER, Row
@@ -63,7 +64,7 @@
     'LAPSED',
     'Lease',
     'LeaseKeeper',
-    'MISSING',
+    'MISSING_OBJECT',
     'MemberReader',
     'MemberRemover',
     'MembersRead',
@@ -86,7 +87,7 @@
     'RowConflictError',
     'RowWriter',
     'SAME_VERSION',
-    'StoredObject',
+    'StoredText',
     'Subscribe',
     'UNCHANGED',
     'UNSETTLED',
--- a/bluebellfold/store/client.py
+++ b/bluebellfold/store/client.py
@@ -1,35 +1,41 @@
-"""Read, write and watch the platform's objects."""
+"""Read, write and watch texts in the platform's store."""
 
 import asyncio
 from collections import deque
-from http import HTTPStatus
-from urllib.parse import quote
 
 from bluebellfold.core import Endpoint, Sentinel
 from bluebellfold.core.backoff import Backoff
-from bluebellfold.store.codec import (
-    decode_history,
-    decode_object,
-    encode_write,
-)
 from bluebellfold.core.platform_errors import (
     PlatformAnswerError,
     PlatformUnavailableError,
 )
+from bluebellfold.platform import (
+    HISTORY_GONE,
+    MISSING_OBJECT,
+    REVISION_CONFLICT,
+    Changes,
+    ObjectStoreClient,
+    StoredObject,
+)
+from bluebellfold.store.codec import TextVersions, decode_versions
 from bluebellfold.store.messages import (
     HistoryEntry,
     ObjectWrite,
-    StoredObject,
+    StoredText,
 )
 from bluebellfold.store.settlement import CONFLICT, PENDING, settle
-from bluebellfold.core.calls import Answer, Call, Transport
 
 CALL_TIMEOUT_SECONDS = 1.0
 ATTEMPTS = 3
 # Beyond this a repeated operation is settled by its caller, by reading.
 UNCERTAIN_OPERATIONS = 16
+# The store takes 1,048,576 bytes an object; the history needs some of them.
+MAX_TEXT_BYTES = 1_000_000
+# Each text is the only object of a kind of its own, so that a watch wakes for
+# its changes alone.
+KIND_PREFIX = 'bluebellfold-text-'
+OBJECT_NAME = 'text'
 
-MISSING = Sentinel(name='missing', reason='the platform has no such object')
 UNCHANGED = Sentinel(
     name='unchanged',
     reason='the platform had no greater version while the watch waited',
@@ -37,7 +43,7 @@
 
 
 class ObjectClient:
-    """Call the platform's object API and retry what was cut.
+    """Keep texts in the store, with versions, and retry what was cut.
 
     ``read`` and ``write`` make a bounded number of attempts, each with twice
     the time of the one before, ``watch`` and ``history`` one.
@@ -45,7 +51,14 @@
     PlatformAnswerError for an answer that a retry would not change.
     """
 
-    __slots__ = ('_backoff', '_timeout_seconds', '_transport', '_uncertain')
+    __slots__ = (
+        '_backoff',
+        '_known',
+        '_client',
+        '_timeout_seconds',
+        '_uncertain',
+        '_watched',
+    )
 
     def __init__(
         self,
@@ -54,9 +67,11 @@
         backoff: Backoff,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> None:
-        self._transport = Transport(endpoint=endpoint)
+        self._client = ObjectStoreClient(endpoint=endpoint)
         self._backoff = backoff
         self._timeout_seconds = timeout_seconds
+        self._known: dict[str, TextVersions] = {}
+        self._watched: dict[str, int] = {}
         self._uncertain: deque[str] = deque(maxlen=UNCERTAIN_OPERATIONS)
 
     @property
@@ -69,12 +84,19 @@
         """Return how long an answer may take, in seconds."""
         return self._timeout_seconds
 
-    async def read(self, name: str) -> StoredObject | Sentinel:
-        """Return the object or MISSING."""
-        answer = await self._get(_target(name))
-        if answer.status == HTTPStatus.NOT_FOUND:
-            return MISSING
-        return _stored(answer)
+    async def read(self, name: str) -> StoredText | Sentinel:
+        """Return the text or MISSING_OBJECT."""
+        attempt = 0
+        while True:
+            try:
+                found = await self._read(name, self._patience(attempt))
+            except PlatformUnavailableError:
+                attempt += 1
+                if attempt == ATTEMPTS:
+                    raise
+            else:
+                return found.newest if found else found
+            await asyncio.sleep(self._backoff.delay_seconds(attempt))
 
     async def write(
         self,
@@ -83,13 +105,18 @@
         text: str,
         expected_version: int,
         operation: str,
-    ) -> StoredObject | Sentinel:
-        """Return the object as written, CONFLICT or UNSETTLED.
+    ) -> StoredText | Sentinel:
+        """Return the text as written, CONFLICT or UNSETTLED.
 
         ``operation`` is unique to the write. After a lost answer the
-        object's history tells whether the write took effect. When this
+        text's history tells whether the write took effect. When this
         raises, call it again with the same operation.
         """
+        if len(text.encode()) > MAX_TEXT_BYTES:
+            raise PlatformAnswerError(
+                problem=f'{name} is larger than the platform takes',
+                remedy='keep each text under a megabyte, or split it',
+            )
         write = ObjectWrite(
             name=name,
             text=text,
@@ -115,118 +142,122 @@
         after_version: int,
         wait_seconds: float,
         timeout_seconds: float | None = None,
-    ) -> StoredObject | Sentinel:
-        """Return the object once its version is greater, or UNCHANGED.
+    ) -> StoredText | Sentinel:
+        """Return the text once its version is greater, or UNCHANGED.
 
         ``timeout_seconds`` is what the answer may take beyond the wait.
         """
-        allowance = timeout_seconds or self._timeout_seconds
-        query = f'?after={after_version}&wait={wait_seconds}'
-        answer = await self._transport.call(
-            Call(method='GET', target=_target(name) + query),
-            timeout_seconds=wait_seconds + allowance,
-        )
-        if answer.status == HTTPStatus.NOT_MODIFIED:
-            return UNCHANGED
-        return _stored(answer)
+        patience = timeout_seconds or self._timeout_seconds
+        clock = asyncio.get_running_loop()
+        deadline = clock.time() + wait_seconds
+        while True:
+            left = max(0, deadline - clock.time())
+            found = await self._watch_once(name, left, patience)
+            if found and found.version > after_version:
+                return found.newest
+            if not found or clock.time() >= deadline:
+                return UNCHANGED
 
     async def history(self, name: str) -> tuple[HistoryEntry, ...]:
-        """Return the late versions of the object, newest last."""
-        return await self._history(name, self._timeout_seconds)
+        """Return the late versions of the text, newest last."""
+        found = await self._read(name, self._timeout_seconds)
+        return found.history if found else ()
 
     def close(self) -> None:
         """Close the connection that is kept."""
-        self._transport.close()
+        self._client.close()
 
     async def _attempt(
-        self,
-        write: ObjectWrite,
-        timeout_seconds: float,
-    ) -> StoredObject | Sentinel:
+        self, write: ObjectWrite, patience: float
+    ) -> StoredText | Sentinel:
         try:
-            answer = await self._put(write, timeout_seconds)
+            written = await self._send(write, patience)
         except PlatformUnavailableError:
             self._uncertain.append(write.operation)
-            return await self._read_back(write, timeout_seconds)
-        if answer.status != HTTPStatus.CONFLICT:
-            return _stored(answer)
+            return await self._read_back(write, patience)
+        if written is not REVISION_CONFLICT:
+            return self._learn(write.name, written).newest
         if write.operation in self._uncertain:
-            return await self._read_back(write, timeout_seconds)
+            return await self._read_back(write, patience)
         return CONFLICT
 
-    async def _read_back(
-        self,
-        write: ObjectWrite,
-        timeout_seconds: float,
+    async def _send(
+        self, write: ObjectWrite, patience: float
     ) -> StoredObject | Sentinel:
+        """Return the object as written, or REVISION_CONFLICT."""
+        kind = _kind_of(write.name)
+        if not write.expected_version:
+            return await self._client.create(
+                kind,
+                OBJECT_NAME,
+                TextVersions.first(write).spec(),
+                timeout_seconds=patience,
+            )
+        known = self._known.get(write.name)
+        if known is None or known.version < write.expected_version:
+            known = await self._read(write.name, patience)
+        if not known or known.version != write.expected_version:
+            return REVISION_CONFLICT
+        written = await self._client.replace(
+            kind,
+            StoredObject(
+                name=OBJECT_NAME,
+                revision=known.revision,
+                spec=known.after(write).spec(),
+            ),
+            timeout_seconds=patience,
+        )
+        return REVISION_CONFLICT if written is MISSING_OBJECT else written
+
+    async def _read_back(
+        self, write: ObjectWrite, patience: float
+    ) -> StoredText | Sentinel:
         try:
-            history = await self._history(write.name, timeout_seconds)
+            found = await self._read(write.name, patience)
         except PlatformUnavailableError:
             return PENDING
-        return settle(write=write, history=history)
+        return settle(write=write, history=found.history if found else ())
 
-    async def _history(
-        self,
-        name: str,
-        timeout_seconds: float,
-    ) -> tuple[HistoryEntry, ...]:
-        answer = await self._transport.call(
-            Call(method='GET', target=f'{_target(name)}/history'),
-            timeout_seconds=timeout_seconds,
+    async def _read(
+        self, name: str, patience: float
+    ) -> TextVersions | Sentinel:
+        stored = await self._client.read(
+            _kind_of(name), OBJECT_NAME, timeout_seconds=patience
         )
-        if answer.status == HTTPStatus.NOT_FOUND:
-            return ()
-        _check(answer)
-        return decode_history(answer.body)
-
-    async def _put(self, write: ObjectWrite, timeout_seconds: float) -> Answer:
-        return await self._transport.call(
-            Call(
-                method='PUT',
-                target=_target(write.name),
-                body=encode_write(write),
-            ),
-            timeout_seconds=timeout_seconds,
+        return self._learn(name, stored) if stored else stored
+
+    async def _watch_once(
+        self, name: str, wait_seconds: float, patience: float
+    ) -> TextVersions | None:
+        changes = await self._client.watch(
+            _kind_of(name),
+            revision=self._watched.get(name, 0),
+            wait_seconds=wait_seconds,
+            timeout_seconds=patience,
         )
+        if changes is HISTORY_GONE:
+            changes = await self._client.list_objects(
+                _kind_of(name), timeout_seconds=patience
+            )
+        return self._take(name, changes)
 
-    async def _get(self, target: str) -> Answer:
-        call = Call(method='GET', target=target)
-        attempt = 0
-        while True:
-            patience = self._patience(attempt)
-            try:
-                return await self._transport.call(
-                    call,
-                    timeout_seconds=patience,
-                )
-            except PlatformUnavailableError:
-                attempt += 1
-                if attempt == ATTEMPTS:
-                    raise
-            await asyncio.sleep(self._backoff.delay_seconds(attempt))
+    def _take(self, name: str, changes: Changes) -> TextVersions | None:
+        self._watched[name] = max(changes.revision, self._watched.get(name, 0))
+        kept = [change for change in changes.changes if not change.deleted]
+        return self._learn(name, kept[-1].stored) if kept else None
+
+    def _learn(self, name: str, stored: StoredObject) -> TextVersions:
+        found = decode_versions(name, stored)
+        known = self._known.get(name)
+        if known is None or known.revision < found.revision:
+            self._known[name] = found
+        # What is known needs no event any more.
+        self._watched[name] = max(found.revision, self._watched.get(name, 0))
+        return found
 
     def _patience(self, attempt: int) -> float:
         return self._timeout_seconds * 2**attempt
 
 
-def _target(name: str) -> str:
-    return f'/objects/{quote(name)}'
-
-
-def _stored(answer: Answer) -> StoredObject:
-    _check(answer)
-    return decode_object(answer.body)
-
-
-def _check(answer: Answer) -> None:
-    if answer.status == HTTPStatus.OK:
-        return
-    if answer.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
-        raise PlatformAnswerError(
-            problem='the object is larger than the platform takes',
-            remedy='keep each object under a megabyte, or split it',
-        )
-    raise PlatformAnswerError(
-        problem=f'the platform answered with status {answer.status}',
-        remedy='check the request and the version of the object API',
-    )
+def _kind_of(name: str) -> str:
+    return KIND_PREFIX + name.replace('/', '.')
--- a/bluebellfold/store/lease_keeper.py
+++ b/bluebellfold/store/lease_keeper.py
@@ -5,7 +5,8 @@
 from uuid import uuid4
 
 from bluebellfold.core import Clock, Sentinel
-from bluebellfold.store.client import MISSING, ObjectClient
+from bluebellfold.platform import MISSING_OBJECT
+from bluebellfold.store.client import ObjectClient
 from bluebellfold.core.platform_errors import RowConflictError
 from bluebellfold.store.lease import (
     LAPSED,
@@ -15,7 +16,7 @@
     is_usable,
     sight,
 )
-from bluebellfold.store.messages import StoredObject
+from bluebellfold.store.messages import StoredText
 from bluebellfold.store.row_changes import Row, merge, remove
 from bluebellfold.store.row_codec import (
     decode_rows,
@@ -65,7 +66,7 @@
         self._claimed_at = clock.now()
         self._lease: Lease | None = None
         self._sighting: Sighting | None = None
-        self._current: StoredObject | Sentinel = MISSING
+        self._current: StoredText | Sentinel = MISSING_OBJECT
 
     async def acquire(self) -> Lease | Sentinel:
         """Return the lease, new or renewed, or HELD or CONFLICT."""
@@ -86,14 +87,14 @@
         self._claimed_at = now
         return claimed
 
-    async def write(self, rows: tuple[Row, ...]) -> StoredObject | Sentinel:
+    async def write(self, rows: tuple[Row, ...]) -> StoredText | Sentinel:
         """Return the object with the rows, or LAPSED or NOTHING_NEWER.
 
         Raises RowConflictError when other rows changed too often.
         """
         return await self._change(partial(merge, changes=rows))
 
-    async def remove(self, rows: tuple[Row, ...]) -> StoredObject | Sentinel:
+    async def remove(self, rows: tuple[Row, ...]) -> StoredText | Sentinel:
         """Return the object without the rows, or LAPSED or NOTHING_NEWER.
 
         Rows that have changed stay. Raises as ``write`` does.
@@ -111,7 +112,7 @@
         await self.write((encode_lease(ended),))
         self._lease = None
 
-    async def _change(self, change: RowChange) -> StoredObject | Sentinel:
+    async def _change(self, change: RowChange) -> StoredText | Sentinel:
         attempt = 0
         while attempt < LEASE_WRITE_ATTEMPTS:
             if not self._usable():
@@ -145,10 +146,10 @@
         if stored != self._lease:
             self._lease = None
 
-    async def _put(self, rows: tuple[Row, ...]) -> StoredObject | Sentinel:
+    async def _put(self, rows: tuple[Row, ...]) -> StoredText | Sentinel:
         return await self._attempt(partial(merge, changes=rows))
 
-    async def _attempt(self, change: RowChange) -> StoredObject | Sentinel:
+    async def _attempt(self, change: RowChange) -> StoredText | Sentinel:
         changed = change(stored=self._rows())
         if isinstance(changed, Sentinel):
             return changed
--- a/bluebellfold/store/messages.py
+++ b/bluebellfold/store/messages.py
@@ -11,7 +11,7 @@
 )
 
 
-class StoredObject(Record):
+class StoredText(Record):
     """Carry one object of the platform at one version.
 
     Versions start at 1 and grow by one with each write. ``operation``
@@ -84,9 +84,9 @@
 
     __slots__ = ('_stored',)
 
-    stored: StoredObject = read_only('_stored')
+    stored: StoredText = read_only('_stored')
 
-    def __init__(self, *, stored: StoredObject) -> None:
+    def __init__(self, *, stored: StoredText) -> None:
         self._stored = stored
 
 
--- a/bluebellfold/store/rows.py
+++ b/bluebellfold/store/rows.py
@@ -9,7 +9,7 @@
 from bluebellfold.core import Sentinel
 from bluebellfold.store.client import ObjectClient
 from bluebellfold.core.platform_errors import RowConflictError
-from bluebellfold.store.messages import StoredObject
+from bluebellfold.store.messages import StoredText
 from bluebellfold.store.row_changes import Row, merge, remove
 from bluebellfold.store.row_codec import decode_rows, encode_rows
 from bluebellfold.store.settlement import CONFLICT, UNSETTLED
@@ -41,15 +41,15 @@
         self._name = name
         self._attempts = attempts
 
-    async def publish(self, rows: tuple[Row, ...]) -> StoredObject | Sentinel:
+    async def publish(self, rows: tuple[Row, ...]) -> StoredText | Sentinel:
         """Put in the rows that are newer; return NOTHING_NEWER if none is."""
         return await self._change(partial(merge, changes=rows))
 
-    async def remove(self, rows: tuple[Row, ...]) -> StoredObject | Sentinel:
+    async def remove(self, rows: tuple[Row, ...]) -> StoredText | Sentinel:
         """Take out the rows that are as given, or return NOTHING_NEWER."""
         return await self._change(partial(remove, removed=rows))
 
-    async def _change(self, change: RowChange) -> StoredObject | Sentinel:
+    async def _change(self, change: RowChange) -> StoredText | Sentinel:
         attempt = 0
         while attempt < self._attempts:
             outcome = await self._attempt(change)
@@ -63,7 +63,7 @@
             remedy='try again later, or spread the rows over more objects',
         )
 
-    async def _attempt(self, change: RowChange) -> StoredObject | Sentinel:
+    async def _attempt(self, change: RowChange) -> StoredText | Sentinel:
         current = await self._client.read(self._name)
         rows = decode_rows(current.text) if current else ()
         changed = change(stored=rows)
--- a/bluebellfold/store/settlement.py
+++ b/bluebellfold/store/settlement.py
@@ -4,7 +4,7 @@
 from bluebellfold.store.messages import (
     HistoryEntry,
     ObjectWrite,
-    StoredObject,
+    StoredText,
 )
 
 CONFLICT = Sentinel(
@@ -32,7 +32,7 @@
     *,
     write: ObjectWrite,
     history: tuple[HistoryEntry, ...],
-) -> StoredObject | Sentinel:
+) -> StoredText | Sentinel:
     """Return the object as the write left it, or why there is none.
 
     ``history`` is in order of version, newest last. PENDING does not rule
@@ -41,7 +41,7 @@
     """
     for entry in history:
         if entry.operation == write.operation:
-            return StoredObject(
+            return StoredText(
                 name=write.name,
                 version=entry.version,
                 text=write.text,
--- a/bluebellfold/store/watch.py
+++ b/bluebellfold/store/watch.py
@@ -6,7 +6,7 @@
 from bluebellfold.core import Actor, InboxFullError, Sentinel
 from bluebellfold.store.client import ObjectClient
 from bluebellfold.core.platform_errors import PlatformError
-from bluebellfold.store.messages import ObjectSeen, StoredObject
+from bluebellfold.store.messages import ObjectSeen, StoredText
 
 # A change must be seen within seconds, also when the network drops the
 # watch's connection without a sign: so a watch waits no longer than this.
@@ -68,7 +68,7 @@
             self._hand_on(seen)
         return WATCH_PAUSE_SECONDS
 
-    async def _watch(self) -> StoredObject | Sentinel:
+    async def _watch(self) -> StoredText | Sentinel:
         doublings = min(self._failures, MAX_DOUBLINGS)
         return await self._client.watch(
             name=self._name,
@@ -77,7 +77,7 @@
             timeout_seconds=self._client.timeout_seconds * 2**doublings,
         )
 
-    def _hand_on(self, seen: StoredObject) -> None:
+    def _hand_on(self, seen: StoredText) -> None:
         try:
             self._subscriber.tell(ObjectSeen(stored=seen))
         except InboxFullError:
