--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -6,12 +6,12 @@
 import time
 from functools import partial
 
-from bluebellfold.collectors import note
 from bluebellfold.core import MonotonicClock, SettingsError
 from bluebellfold.daemons.relaying import (
     SETTINGS_VARIABLE,
     RelayRunner,
     complain,
+    reload_settings,
     run_relay,
 )
 from bluebellfold.relay.collectors import Journal, ProcessServer
@@ -84,7 +84,11 @@
             helpers=(registrar,),
             servers=tuple(servers),
             on_stop=StopSoon(),
-            reload=self._reload,
+            reload=partial(
+                reload_settings,
+                partial(load_agent, self._path),
+                in_use=settings,
+            ),
         )
         await runner.run()
         if self._front.upstream_ended:
@@ -93,15 +97,6 @@
     async def _is_ready(self) -> bool:
         return True
 
-    def _reload(self) -> None:
-        try:
-            loaded = load_agent(self._path)
-        except SettingsError as error:
-            note(_log, 'BBF0736', problem=error.problem, remedy=error.remedy)
-            return
-        logging.getLogger().setLevel(loaded.process.log_level.upper())
-        note(_log, 'BBF0735', changed=loaded != self._settings)
-
 
 def main(path: str = '') -> int:
     """Run an agent with the settings at a path, and return the exit code."""
--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -5,12 +5,12 @@
 import sys
 from functools import partial
 
-from bluebellfold.collectors import note
 from bluebellfold.core import MonotonicClock, Reply, SettingsError
 from bluebellfold.daemons.relaying import (
     SETTINGS_VARIABLE,
     RelayRunner,
     complain,
+    reload_settings,
     run_relay,
 )
 from bluebellfold.relay.callers import AskReadiness, CallerFront, Leave
@@ -64,7 +64,11 @@
             helpers=helpers,
             servers=tuple(servers),
             on_stop=Leave(),
-            reload=self._reload,
+            reload=partial(
+                reload_settings,
+                partial(load_balancer, self._path),
+                in_use=self._settings,
+            ),
         )
         await runner.run()
 
@@ -73,15 +77,6 @@
         self._front.tell(AskReadiness(reply=reply))
         return await reply.wait()
 
-    def _reload(self) -> None:
-        try:
-            loaded = load_balancer(self._path)
-        except SettingsError as error:
-            note(_log, 'BBF0736', problem=error.problem, remedy=error.remedy)
-            return
-        logging.getLogger().setLevel(loaded.process.log_level.upper())
-        note(_log, 'BBF0735', changed=loaded != self._settings)
-
 
 def main(path: str = '') -> int:
     """Run a balancer with the settings at a path, and return the exit code."""
--- a/bluebellfold/daemons/relaying.py
+++ b/bluebellfold/daemons/relaying.py
@@ -13,9 +13,20 @@
     note,
     start_logging,
 )
-from bluebellfold.core import Actor, BluebellfoldError, Message, Stop
-from bluebellfold.relay.operators import RelayProcess
+from bluebellfold.core import (
+    Actor,
+    BluebellfoldError,
+    Message,
+    SettingsError,
+    Stop,
+)
+from bluebellfold.relay.operators import (
+    AgentSettings,
+    BalancerSettings,
+    RelayProcess,
+)
 
+RelaySettings = AgentSettings | BalancerSettings
 SETTINGS_VARIABLE = 'BLUEBELLFOLD_SETTINGS'
 SUCCEEDED = 0
 FAILED = 1
@@ -105,6 +116,19 @@
     return SUCCEEDED
 
 
+def reload_settings(
+    load: Callable[[], RelaySettings], *, in_use: RelaySettings
+) -> None:
+    """Read the settings again, and put the log level of them in force."""
+    try:
+        loaded = load()
+    except SettingsError as error:
+        note(_log, 'BBF0736', problem=error.problem, remedy=error.remedy)
+        return
+    logging.getLogger().setLevel(loaded.process.log_level.upper())
+    note(_log, 'BBF0735', changed=loaded != in_use)
+
+
 def complain(error: BluebellfoldError) -> int:
     """Write what is wrong with the settings, and return the exit code."""
     sys.stderr.write(f'bluebellfold: {error}\n')
