Reset no flow on beliefs that are old because the balancer stood still

A balancer that wakes from a freeze finds every agent silent for longer than a restart takes, so the denial of one agent was the denial of all, and a flow that is open at another was reset.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -384,6 +384,12 @@
     meaning='a reset by an upstream that holds no such flow is kept back',
     remedy=NOTHING,
 )
+register(
+    number='BBF0741',
+    level=logging.WARNING,
+    meaning='the process stood still; what it believes of agents is old',
+    remedy='look whether its VM was frozen or short of processor time',
+)
 register(
     number='BBF0740',
     level=logging.WARNING,
--- a/bluebellfold/relay/agents/roster.py
+++ b/bluebellfold/relay/agents/roster.py
@@ -100,6 +100,10 @@
         self._silent = True
         return True
 
+    def excuse_silence(self, now: float) -> None:
+        """Give the agent time to report before it is taken for lost."""
+        self._reported_at = max(self._reported_at, now - LIVE_SECONDS)
+
     def avoid_until(self, moment: float) -> None:
         """Offer no flow to the agent before a moment."""
         self._avoided_until = moment
@@ -157,6 +161,11 @@
         """Return the view of an agent, None if it isn't known."""
         return self._views.get(address)
 
+    def excuse_silence(self, now: float) -> None:
+        """Take no agent for lost that was silent while this process was."""
+        for view in self._views.values():
+            view.excuse_silence(now)
+
     def change(self, addresses: Iterable[Address], now: float) -> RosterChange:
         """Take the list of agents that exist."""
         wanted = set(addresses)
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -25,6 +25,9 @@
 # An agent reports for 2 s after a hello; two hellos may be lost.
 HELLO_SECONDS = 0.6
 SWEEP_SECONDS = 5.0
+# The process ticks twenty times a second: a longer gap means that it stood
+# still, and that others were silent to it for no fault of theirs.
+PAUSE_SECONDS = 0.5
 # Flows are forgotten a little later than clients may take them up again.
 IDLE_MARGIN_SECONDS = 2.0
 MILLISECONDS = 1000
@@ -47,6 +50,7 @@
         '_owners',
         '_roster',
         '_routes',
+        '_ran_at',
         '_sweep_due',
     )
 
@@ -82,6 +86,7 @@
         )
         self._hello_due = float(0)
         self._sweep_due = float(0)
+        self._ran_at = float(0)
 
     @property
     def version(self) -> int:
@@ -148,6 +153,7 @@
 
     def take_packet(self, packet: Packet, now: float) -> None:
         """Decide where a client's packet goes."""
+        self._notice_pause(now)
         if packet.opens:
             self._openings.open(packet, now)
             return
@@ -163,6 +169,7 @@
 
     def tick(self, now: float) -> None:
         """Do what is due; call this about twenty times a second."""
+        self._notice_pause(now)
         self._openings.tick(now)
         for silent in self._roster.views:
             if silent.notice_silence(now):
@@ -207,6 +214,7 @@
     def _take_not_held(
         self, message: NotHeld, address: Address, now: float
     ) -> None:
+        self._notice_pause(now)
         # An agent that only others know may hold the flow.
         certain = not self._newest_agents.is_beyond(self._agents_revision)
         self._owners.note_denial(message, address, now, certain=certain)
@@ -215,6 +223,14 @@
     def _take_held(self, message: Held, address: Address, now: float) -> None:
         self._owners.note_owner(message, address, now)
 
+    def _notice_pause(self, now: float) -> None:
+        paused = now - self._ran_at
+        self._ran_at = now
+        if paused < PAUSE_SECONDS:
+            return
+        self._roster.excuse_silence(now)
+        self._journal.note('BBF0741', paused_ms=round(paused * MILLISECONDS))
+
     def _greet_all(self, now: float) -> None:
         everyone = now >= self._hello_due
         if everyone:
