Meet an agent again that starts on a clock that was set back

Its reports were taken for late ones of an earlier start, for as long as the balancer remembered the later start.

--- a/bluebellfold/relay/agents/roster.py
+++ b/bluebellfold/relay/agents/roster.py
@@ -9,6 +9,8 @@
 
 # An agent reports at least every 0.2 s: after three lost reports it is silent.
 LIVE_SECONDS = 0.7
+# One that runs has reported within this; a new start takes longer.
+REPORTING_SECONDS = 0.3
 # Beyond this an agent that is silent has died, or was cut off: a planned
 # restart takes less.
 LOST_SECONDS = 3.0
@@ -114,8 +116,11 @@
         if known is not None and known.start == load.start:
             if known.sequence >= load.sequence:
                 return False
-        if known is not None and known.start > load.start:
-            return False
+        elif known is not None and known.start > load.start:
+            # A late report of an earlier start, while the later one reports.
+            # If that one is silent, the clock of its VM was set back.
+            if self.age_seconds(now) <= REPORTING_SECONDS:
+                return False
         self._load = load
         self._reported_at = now
         self._silent = False
--- a/bluebellfold/relay/callers/tests/test_relay.py
+++ b/bluebellfold/relay/callers/tests/test_relay.py
@@ -389,6 +389,14 @@
     assert not balancer.outlet.take(Offer)
 
 
+def test_agent_that_starts_on_a_clock_that_was_set_back_is_met_again():
+    balancer = balancer_with(report_of(start=5))
+    balancer.wait(1)
+    balancer.hear(FIRST, report_of(start=4))
+    balancer.receive(opening_packet())
+    assert [address for address, _ in balancer.outlet.take(Offer)] == [FIRST]
+
+
 def test_agents_are_greeted_at_once_and_regularly():
     balancer = Balancer(agents=(FIRST,))
     assert [address for address, _ in balancer.outlet.take(Hello)] == [FIRST]
