Offer flows to agents as free as believed first, and count no upload as work

An offer now says with how many requests in progress it may be taken, a decline brings a report first, and broadcasts follow a change half as often.

--- a/bluebellfold/platform/packets.py
+++ b/bluebellfold/platform/packets.py
@@ -28,6 +28,8 @@
 
 _REQUEST_ID = re.compile(rb'(?i)\r\nbluebellfold-request-id:[ \t]*([^\r\n]*)')
 _STATUS = re.compile(rb'HTTP/1\.1 (\d{3}) ')
+_REQUEST_HEAD = re.compile(rb'(?s).*?\r\n\r\n')
+_CONTENT_LENGTH = re.compile(rb'(?i)\r\ncontent-length:[ \t]*(\d+)')
 
 
 def decode_packet(raw: bytes, *, from_client: bool) -> Packet | Sentinel:
@@ -89,6 +91,19 @@
     return found[1].decode('ascii', 'replace') if found else ''
 
 
+def find_request_bytes(packet: Packet) -> int | None:
+    """Return the length of the request that starts in a packet.
+
+    Return None if its head doesn't end in the packet.
+    """
+    head = _REQUEST_HEAD.match(packet.raw, HEAD.size)
+    if head is None:
+        return None
+    length = _CONTENT_LENGTH.search(packet.raw, HEAD.size, head.end())
+    body_bytes = int(length[1]) if length else 0
+    return head.end() - HEAD.size + body_bytes
+
+
 def find_status(packet: Packet) -> int:
     """Return the status of the answer that starts in a packet, or 0."""
     found = _STATUS.match(packet.raw, HEAD.size)
--- a/bluebellfold/platform/tests/test_packets.py
+++ b/bluebellfold/platform/tests/test_packets.py
@@ -9,6 +9,7 @@
     MALFORMED,
     decode_packet,
     encode_reset,
+    find_request_bytes,
     find_request_id,
     find_status,
     tag_packet,
@@ -123,3 +124,17 @@
 def test_addresses_are_packed_as_packets_have_them():
     flow = opening_packet().flow
     assert flow[:6] == pack_address('198.18.0.1', 443)
+
+
+@pytest.mark.parametrize(
+    ('payload', 'expected'),
+    [
+        (b'GET / HTTP/1.1\r\nHost: a\r\n\r\n', 27),
+        (b'POST / HTTP/1.1\r\nContent-Length: 40\r\n\r\nbody', 79),
+        (b'POST / HTTP/1.1\r\nContent-Length: 40\r\n', None),
+        (b'', None),
+    ],
+)
+def test_length_of_a_request_is_read_from_its_head(payload, expected):
+    packet = client_packet(flags=ACKNOWLEDGE, payload=payload)
+    assert find_request_bytes(packet) == expected
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -81,6 +81,9 @@
 _add_plain(3, NotHeld)
 
 _OFFER = 4
+# The kind, the most requests in progress, the length of the service's name.
+_OFFER_HEAD = 3
+_BYTE = 0xFF
 _DECLINED = 5
 _HELD = 6
 _HELLO_KIND = 7
@@ -91,17 +94,25 @@
 def _encode_offer(message: Offer) -> bytes:
     service = message.service.encode()
     return b''.join(
-        (bytes((_OFFER, len(service))), service, message.packet.raw),
+        (
+            bytes((_OFFER, min(message.most_busy, _BYTE), len(service))),
+            service,
+            message.packet.raw,
+        ),
     )
 
 
 @DECODERS.add(_OFFER)
 def _decode_offer(datagram: bytes, read: PacketReader) -> Any:
-    end = 2 + datagram[1]
+    end = _OFFER_HEAD + datagram[2]
     packet = read(datagram[end:])
     if not packet:
         return packet
-    return Offer(packet=packet, service=datagram[2:end].decode())
+    return Offer(
+        packet=packet,
+        service=datagram[_OFFER_HEAD:end].decode(),
+        most_busy=datagram[1],
+    )
 
 
 @ENCODERS.add(Declined)
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -14,6 +14,8 @@
 DECLINED_FULL = 3
 DECLINED_SERVICE = 4
 DECLINED_UNANSWERED = 5
+# The upstream itself gave the opening packet back.
+DECLINED_REJECTED = 6
 
 DECLINE_NAMES = (
     'none',
@@ -22,6 +24,7 @@
     'full',
     'other-service',
     'unanswered',
+    'rejected',
 )
 
 
@@ -133,15 +136,21 @@
 
 
 class Offer(PacketMessage):
-    """Ask an agent to take a new flow for a service."""
+    """Ask an agent to take a new flow for a service.
 
-    __slots__ = ('_service',)
+    ``most_busy`` is with how many requests in progress it may take the flow;
+    with more, another agent is likely the better one.
+    """
+
+    __slots__ = ('_most_busy', '_service')
 
+    most_busy: int = read_only('_most_busy')
     service: str = read_only('_service')
 
-    def __init__(self, *, packet: Packet, service: str) -> None:
+    def __init__(self, *, packet: Packet, service: str, most_busy: int) -> None:
         super().__init__(packet=packet)
         self._service = service
+        self._most_busy = most_busy
 
 
 class Carry(PacketMessage):
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -30,7 +30,7 @@
         Carry(packet=PACKET),
         Seek(packet=PACKET),
         NotHeld(packet=PACKET),
-        Offer(packet=opening_packet(), service='counter'),
+        Offer(packet=opening_packet(), service='counter', most_busy=7),
         Declined(packet=opening_packet(), reason=3),
         Held(flow=PACKET.flow),
         Hello(
--- a/bluebellfold/relay/callers/flows.py
+++ b/bluebellfold/relay/callers/flows.py
@@ -9,7 +9,14 @@
 class Assignment:
     """Hold the agent of one flow; ``tried`` declined or did not answer."""
 
-    __slots__ = ('_agent', '_opened_at', '_opening', '_tried', '_used_at')
+    __slots__ = (
+        '_agent',
+        '_declines',
+        '_opened_at',
+        '_opening',
+        '_tried',
+        '_used_at',
+    )
 
     def __init__(self, *, now: float) -> None:
         self._agent: Address | None = None
@@ -17,6 +24,7 @@
         self._used_at = now
         self._opened_at = now
         self._opening: int | None = None
+        self._declines = 0
 
     @property
     def agent(self) -> Address | None:
@@ -42,15 +50,22 @@
         """Set the agent."""
         self._agent = agent
 
+    @property
+    def declines(self) -> int:
+        """Return how often agents had no room for the flow."""
+        return self._declines
+
     def take_back(self, agent: Address) -> None:
         """Take the flow from an agent that has no room for it now."""
+        self._declines += 1
         if self._agent == agent:
             self._agent = None
 
     def give_up(self, agent: Address) -> None:
         """Take the flow from an agent that doesn't serve it."""
         self._tried.add(agent)
-        self.take_back(agent)
+        if self._agent == agent:
+            self._agent = None
 
     def begin(self, sequence: int, opened_at: float) -> None:
         """Take an opening packet; another sequence means a new flow."""
@@ -58,6 +73,7 @@
             self._opening = sequence
             self._opened_at = opened_at
             self._agent = None
+            self._declines = 0
             self._tried.clear()
 
     def touch(self, now: float) -> None:
--- a/bluebellfold/relay/callers/openings.py
+++ b/bluebellfold/relay/callers/openings.py
@@ -1,13 +1,14 @@
 """Decide which agent each new flow goes to, or that it waits or is refused."""
 
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from types import MappingProxyType
 
-from bluebellfold.core import Message, Packet, Route, service_address, show_flow
+from bluebellfold.core import Packet, Route, service_address, show_flow
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
     DECLINED_FULL,
-    DECLINED_SERVICE,
+    DECLINED_REJECTED,
     NO_AGENT,
     Address,
     AgentView,
@@ -20,16 +21,29 @@
 from bluebellfold.relay.callers.news import RoutesInForce
 from bluebellfold.relay.callers.offers import OffersUnderWay
 from bluebellfold.relay.callers.outlet import Outlet
-from bluebellfold.relay.callers.waiting import COPY_SECONDS, WaitingRoom
+from bluebellfold.relay.callers.waiting import (
+    COPY_SECONDS,
+    WaitingFlow,
+    WaitingRoom,
+)
 from bluebellfold.relay.collectors import Journal
 
-# A queue that was full a moment ago has room again after about one request.
-FULL_PAUSE_SECONDS = 0.03
+# How long an agent is offered no flow after it declined one. What it has no
+# room for its report tells as well, within a round trip between zones; an
+# upstream that rejected has room again after about one request.
+PAUSE_SECONDS_AFTER = MappingProxyType(
+    {DECLINED_FULL: 0.005, DECLINED_REJECTED: 0.03},
+)
+# The first offers of a flow go only to agents that are as free as believed:
+# many balancers act on the same report, and would all choose the same agent.
+PICKY_OFFERS = 2
 # An agent that left an offer unanswered is met again by its next report; it
 # is offered no flow until another agent would have restarted.
 SILENT_PAUSE_SECONDS = 0.3
 # The second copy of an opening packet means that 0.6 s brought no answer.
 LAST_ATTEMPT = 2
+# Leaves it to the agent how much its upstream takes.
+MOST_BUSY = 0xFF
 MILLISECONDS = 1000
 _HASHES = 0x100000000
 
@@ -86,7 +100,7 @@
             view = self._roster.find(agent)
             answers = view is not None and view.is_live(now)
             if answers and packet.attempt < LAST_ATTEMPT:
-                self._offer(packet, view, now)
+                self._offer(packet, assignment, view, now)
                 return
             assignment.give_up(agent)
         self._place(packet, assignment, now)
@@ -102,14 +116,15 @@
         packet = message.packet
         self._offers.settle(packet.flow)
         assignment = self._flows.find_or_add(packet.flow, now)
-        if message.reason == DECLINED_FULL:
+        if message.reason in {DECLINED_FULL, DECLINED_REJECTED}:
             # The agent may have room a moment later.
             assignment.take_back(address)
         else:
             assignment.give_up(address)
         view = self._roster.find(address)
-        if view is not None and message.reason != DECLINED_SERVICE:
-            view.avoid_until(now + FULL_PAUSE_SECONDS)
+        if view is not None:
+            pause = PAUSE_SECONDS_AFTER.get(message.reason, 0)
+            view.avoid_until(now + pause)
         self._journal.count('flows-declined')
         self._journal.note(
             'BBF0704',
@@ -121,15 +136,8 @@
 
     def use_room(self, service: str, now: float) -> None:
         """Place flows that wait for a service whose load has changed."""
-        if not self.waiting:
-            return
-        for waiting in self._waiting.in_turn(service):
-            flow = waiting.packet.flow
-            assignment = self._flows.find_or_add(flow, now)
-            self._place(waiting.packet, assignment, now)
-            if flow in self._waiting and not assignment.tried:
-                # No agent has room, so there is none for those behind.
-                return
+        if self.waiting:
+            self._place_waiting(self._waiting.in_turn(service), now)
 
     def tick(self, now: float) -> None:
         """End the waits and the offers that have lasted too long."""
@@ -145,9 +153,20 @@
                 attempt=abandoned.packet.attempt,
                 waited_ms=round((now - abandoned.since) * MILLISECONDS),
             )
+        for service in self._waiting.services:
+            self.use_room(service, now)
         for offer in self._offers.take_unanswered(self._roster, now):
             self._take_from_silent(offer.packet, offer.address, now)
 
+    def _place_waiting(self, turn: Iterable[WaitingFlow], now: float) -> None:
+        for waiting in turn:
+            flow = waiting.packet.flow
+            assignment = self._flows.find_or_add(flow, now)
+            self._place(waiting.packet, assignment, now)
+            if flow in self._waiting and not assignment.tried:
+                # No agent has room, so there is none for those behind.
+                return
+
     def _take_from_silent(
         self, packet: Packet, address: Address, now: float
     ) -> None:
@@ -190,9 +209,15 @@
             return
         assignment.assign(view.address)
         self._waiting.remove(packet.flow)
-        self._offer(packet, view, now)
+        self._offer(packet, assignment, view, now)
 
-    def _offer(self, packet: Packet, view: AgentView, now: float) -> None:
+    def _offer(
+        self,
+        packet: Packet,
+        assignment: Assignment,
+        view: AgentView,
+        now: float,
+    ) -> None:
         service = view.load.service
         self._journal.count('flows-offered')
         self._journal.note(
@@ -206,12 +231,15 @@
             report_age_ms=round(view.age_seconds(now) * MILLISECONDS),
             version=self._routes.version,
         )
+        most_busy = MOST_BUSY
+        if assignment.declines < PICKY_OFFERS:
+            most_busy = view.busy + view.load.slots
         view.count_offer()
         self._offers.add(packet, view.address, now)
-        self._tell(view.address, Offer(packet=packet, service=service))
-
-    def _tell(self, address: Address, message: Message) -> None:
-        self._outlet.tell_agent(address, message)
+        self._outlet.tell_agent(
+            view.address,
+            Offer(packet=packet, service=service, most_busy=most_busy),
+        )
 
     def _let_wait(
         self,
--- a/bluebellfold/relay/callers/tests/test_relay.py
+++ b/bluebellfold/relay/callers/tests/test_relay.py
@@ -13,6 +13,7 @@
     Offer,
     Seek,
 )
+from bluebellfold.relay.callers.openings import MOST_BUSY
 from bluebellfold.relay.tests.scene import (
     Balancer,
     only,
@@ -199,10 +200,33 @@
     balancer.hear(FIRST, Declined(packet=packet, reason=DECLINED_FULL))
     balancer.outlet.told.clear()
     balancer.wait(0.05)
-    balancer.hear(FIRST, report_of(sequence=2))
     assert [address for address, _ in balancer.outlet.take(Offer)] == [FIRST]
 
 
+def test_first_offers_go_only_to_agents_as_free_as_believed():
+    # Many balancers act on one report and would all fill the same agent.
+    balancer = balancer_with(report_of(busy=1), report_of(busy=4))
+    packet = opening_packet()
+    balancer.receive(packet)
+    _, first = only(balancer.outlet.take(Offer))
+    assert first.most_busy == 3
+    balancer.hear(FIRST, report_of(busy=5, sequence=2, offers_seen=1))
+    balancer.hear(FIRST, Declined(packet=packet, reason=DECLINED_FULL))
+    address, second = only(balancer.outlet.take(Offer))
+    assert (address, second.most_busy) == (SECOND, 6)
+
+
+def test_flow_that_was_declined_twice_is_left_to_the_agent():
+    balancer = balancer_with(report_of(busy=1))
+    packet = opening_packet()
+    balancer.receive(packet)
+    for _ in range(2):
+        balancer.hear(FIRST, Declined(packet=packet, reason=DECLINED_FULL))
+        balancer.wait(0.05)
+    _, last = balancer.outlet.take(Offer)[-1]
+    assert last.most_busy == MOST_BUSY
+
+
 def test_flow_that_waited_in_vain_is_refused_at_once():
     balancer = balancer_with(report_of(busy=8))
     balancer.receive(opening_packet())
--- a/bluebellfold/relay/callers/waiting.py
+++ b/bluebellfold/relay/callers/waiting.py
@@ -83,6 +83,17 @@
         """Tell whether the flow waits."""
         return flow in self._by_flow
 
+    @property
+    def services(self) -> set[str]:
+        """Return the services that flows wait for."""
+        routes = [waiting.route for waiting in self._by_flow.values()]
+        return {
+            share.service
+            for route in routes
+            if route is not None
+            for share in route.shares
+        }
+
     def add(self, packet: Packet, route: Route | None, since: float) -> bool:
         """Let a flow wait that its client began to open at a moment.
 
--- a/bluebellfold/relay/tests/scene.py
+++ b/bluebellfold/relay/tests/scene.py
@@ -149,6 +149,9 @@
     def request_id(self, packet):
         return 'r-1'
 
+    def request_bytes(self, packet):
+        return packet.payload_bytes
+
     def status(self, packet):
         return 200
 
--- a/bluebellfold/relay/upstreams/carriage.py
+++ b/bluebellfold/relay/upstreams/carriage.py
@@ -2,7 +2,7 @@
 
 from bluebellfold.core import Packet, show_flow
 from bluebellfold.relay.agents import (
-    DECLINED_FULL,
+    DECLINED_REJECTED,
     DOWN,
     Address,
     Declined,
@@ -74,7 +74,10 @@
         if sought:
             self._outlet.tell_balancer(address, Held(flow=packet.flow))
         if flow.send_to_upstream(packet, now):
-            self._begin_request(packet, flow, now)
+            self._begin_request(packet, flow)
+        if flow.complete_request(now):
+            self._standing.change()
+            flow.note_company(self._flows.busy(now))
         self._outlet.send_upstream(packet, address)
 
     def take(self, packet: Packet, now: float) -> None:
@@ -120,7 +123,7 @@
             return
         if packet.opens:
             self._outlet.tell_balancer(
-                balancer, Declined(packet=packet, reason=DECLINED_FULL)
+                balancer, Declined(packet=packet, reason=DECLINED_REJECTED)
             )
             return
         if flow is None or not flow.confirmed:
@@ -164,7 +167,7 @@
         if flow is not None and flow.state == OFFERED:
             self._outlet.tell_balancer(
                 flow.balancer,
-                Declined(packet=flow.opening, reason=DECLINED_FULL),
+                Declined(packet=flow.opening, reason=DECLINED_REJECTED),
             )
         sought = self._sought.pop(packet.flow, {})
         for balancer, brought in sought.items():
@@ -177,29 +180,30 @@
             self._outlet.tell_balancer(balancer, Held(flow=packet.flow))
         return flow
 
-    def _begin_request(
-        self, packet: Packet, flow: UpstreamFlow, now: float
-    ) -> None:
-        busy = self._flows.busy(now)
-        flow.begin_request(self._outlet.request_id(packet), busy=busy)
-        self._standing.change()
+    def _begin_request(self, packet: Packet, flow: UpstreamFlow) -> None:
+        flow.begin_request(
+            self._outlet.request_id(packet),
+            first=packet.sequence,
+            request_bytes=self._outlet.request_bytes(packet),
+        )
         self._journal.count('requests')
         self._journal.note(
             'BBF0723',
             request=flow.request_id,
             flow=show_flow(packet.flow),
-            busy=busy,
+            busy=self._flows.busy(flow.used_at),
             slots=self._health.slots,
         )
 
     def _end_request(
         self, packet: Packet, flow: UpstreamFlow, now: float
     ) -> None:
-        seconds = now - flow.requested_at
+        # An answer may come before the whole request, as a rejection does.
+        seconds = now - (flow.whole_at or flow.requested_at)
         status = self._outlet.status(packet)
         self._performance.note_answer(
             seconds,
-            busy=flow.busy_before,
+            busy=flow.busy_with,
             slots=self._health.slots,
             status=status,
             now=now,
--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -28,7 +28,7 @@
     __slots__ = (
         '_answer_sequence',
         '_balancer',
-        '_busy_before',
+        '_busy_with',
         '_client_finished',
         '_client_sequence',
         '_confirmed',
@@ -36,12 +36,14 @@
         '_finished',
         '_hangs',
         '_opening',
+        '_request_end',
         '_request_id',
         '_requested_at',
         '_sent_to_client',
         '_sent_to_upstream',
         '_state',
         '_used_at',
+        '_whole_at',
     )
 
     def __init__(self, *, state: str, now: float) -> None:
@@ -59,13 +61,15 @@
         self._finished = False
         self._client_finished = False
         self._confirmed = False
-        self._busy_before = 0
+        self._busy_with = 0
+        self._request_end: int | None = None
+        self._whole_at: float | None = None
         self._hangs = False
 
     @property
-    def busy_before(self) -> int:
-        """Return what was in progress when the last request began."""
-        return self._busy_before
+    def busy_with(self) -> int:
+        """Return what the upstream worked on with the last request."""
+        return self._busy_with
 
     @property
     def balancer(self) -> Address | None:
@@ -92,6 +96,11 @@
         """Return when the request in progress began, None if none is."""
         return self._requested_at
 
+    @property
+    def whole_at(self) -> float | None:
+        """Return since when the upstream has the request in progress."""
+        return self._whole_at
+
     @property
     def state(self) -> str:
         """Return OFFERED, ANSWERED or OPEN."""
@@ -106,9 +115,10 @@
         """Tell whether the flow opens, or waits for an answer.
 
         A client that has given up leaves its last request without an answer.
+        One that still uploads gives the upstream nothing to work on.
         """
-        if self._requested_at is not None:
-            return now - self._requested_at < REQUEST_SECONDS
+        if self._whole_at is not None:
+            return now - self._whole_at < REQUEST_SECONDS
         return self._state != OPEN and now - self._created_at < OPENING_SECONDS
 
     def offer(self, packet: Packet, balancer: Address, now: float) -> None:
@@ -160,7 +170,7 @@
             # A client that gives up ends the flow, and its last request may
             # arrive after that: upstreams don't work on it.
             self._client_finished = True
-            self._requested_at = None
+            self.end_request()
         if not packet.payload_bytes:
             return False
         end = (packet.sequence + packet.payload_bytes) % _SEQUENCES
@@ -184,22 +194,44 @@
         self._sent_to_client = end
         return self._requested_at is not None
 
-    def begin_request(self, request_id: str, *, busy: int) -> None:
-        """Note the id of the request, and what is in progress with it."""
+    def begin_request(
+        self, request_id: str, *, first: int, request_bytes: int | None
+    ) -> None:
+        """Note a request that starts at a sequence number.
+
+        One whose length isn't known counts as whole.
+        """
         self._request_id = request_id
-        self._busy_before = busy
         self._hangs = False
+        self._request_end = None
+        if request_bytes is not None:
+            self._request_end = (first + request_bytes) % _SEQUENCES
+
+    def complete_request(self, now: float) -> bool:
+        """Tell once that the upstream has the whole request."""
+        if self._requested_at is None or self._whole_at is not None:
+            return False
+        end = self._request_end
+        if end is not None and _is_new(end, self._sent_to_upstream):
+            return False
+        self._whole_at = now
+        return True
+
+    def note_company(self, busy: int) -> None:
+        """Note what the upstream works on together with the request."""
+        self._busy_with = busy
 
     def notice_hanging(self, before: float) -> bool:
         """Tell once that a request is without an answer since a moment."""
-        if self._hangs or self._requested_at is None:
+        if self._hangs or self._whole_at is None:
             return False
-        self._hangs = self._requested_at < before
+        self._hangs = self._whole_at < before
         return self._hangs
 
     def end_request(self) -> None:
         """Note that the request in progress is answered or given up."""
         self._requested_at = None
+        self._whole_at = None
 
     def _first_sequence(self) -> int | None:
         """Return what a client acknowledges first, None if not known."""
--- a/bluebellfold/relay/upstreams/front.py
+++ b/bluebellfold/relay/upstreams/front.py
@@ -17,6 +17,7 @@
     decode_client_packet,
     decode_packet,
     encode_reset,
+    find_request_bytes,
     find_request_id,
     find_status,
     tag_packet,
@@ -144,6 +145,10 @@
         """Return the id of the request that begins in a packet."""
         return find_request_id(packet)
 
+    def request_bytes(self, packet: Packet) -> int | None:
+        """Return the length of the request that begins in a packet."""
+        return find_request_bytes(packet)
+
     def status(self, packet: Packet) -> int:
         """Return the status of the answer that begins in a packet."""
         return find_status(packet)
--- a/bluebellfold/relay/upstreams/intake.py
+++ b/bluebellfold/relay/upstreams/intake.py
@@ -63,7 +63,7 @@
             # The client uses the port of an earlier flow again.
             self._flows.remove(packet.flow)
             flow = None
-        reason = self._reason_to_decline(message.service, flow, now)
+        reason = self._reason_to_decline(message, flow, now)
         if reason:
             self._decline(message, reason, address, now)
             return
@@ -100,14 +100,16 @@
             busy=self._flows.busy(now),
             slots=self._health.slots,
         )
+        # The balancer chooses anew by what it then knows.
+        self._standing.report_to(address, now)
         self._outlet.tell_balancer(
             address, Declined(packet=packet, reason=reason)
         )
 
     def _reason_to_decline(
-        self, service: str, flow: UpstreamFlow | None, now: float
+        self, message: Offer, flow: UpstreamFlow | None, now: float
     ) -> int:
-        if service != self._health.service:
+        if message.service != self._health.service:
             return DECLINED_SERVICE
         state = self._standing.state(now)
         if state == DRAINING:
@@ -121,4 +123,5 @@
             slots=self._health.slots,
             warming=self._health.is_warming(now),
         )
+        room = min(room, message.most_busy)
         return DECLINED_FULL if self._flows.busy(now) >= room else 0
--- a/bluebellfold/relay/upstreams/outlet.py
+++ b/bluebellfold/relay/upstreams/outlet.py
@@ -24,5 +24,8 @@
     def request_id(self, packet: Packet) -> str:
         """Return the id of the request that begins in a packet."""
 
+    def request_bytes(self, packet: Packet) -> int | None:
+        """Return the length of the request that begins in a packet."""
+
     def status(self, packet: Packet) -> int:
         """Return the status of the answer that begins in a packet."""
--- a/bluebellfold/relay/upstreams/standing.py
+++ b/bluebellfold/relay/upstreams/standing.py
@@ -27,8 +27,9 @@
 # Balancers take an agent for silent after 0.7 s.
 REPORT_SECONDS = 0.2
 # Reports follow a change after this, for each balancer that is told: 6
-# balancers are told 50 times a second, 24 of them 12 times.
-REPORT_PAUSE_PER_BALANCER = 0.0035
+# balancers are told 24 times a second, 24 of them 6 times. A balancer that
+# offers a flow is told at once.
+REPORT_PAUSE_PER_BALANCER = 0.007
 
 
 class Standing:
--- a/bluebellfold/relay/upstreams/tests/test_relay.py
+++ b/bluebellfold/relay/upstreams/tests/test_relay.py
@@ -53,9 +53,13 @@
     return agent
 
 
-def offer(agent, packet=None, *, service=COUNTER, balancer=BALANCER):
+def offer(
+    agent, packet=None, *, service=COUNTER, balancer=BALANCER, most_busy=255
+):
     packet = packet or opening_packet()
-    agent.hear(balancer, Offer(packet=packet, service=service))
+    agent.hear(
+        balancer, Offer(packet=packet, service=service, most_busy=most_busy)
+    )
 
 
 def agent_with_flow():
@@ -189,6 +193,40 @@
     assert agent.outlet.take(Declined)[0].reason == DECLINED_FULL
 
 
+def test_agent_that_is_busier_than_the_balancer_believes_declines():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.outlet.told.clear()
+    other = opening_packet(client=('100.64.0.9', 1))
+    offer(agent, other, most_busy=1)
+    assert len(agent.outlet.delivered) == 1
+    (_, report), (_, declined) = agent.outlet.told
+    assert (report.load.busy, declined.reason) == (1, DECLINED_FULL)
+
+
+def test_upload_is_no_load_until_the_upstream_has_it():
+    # 40 KB over a slow link take longer than the work on them.
+    agent = agent_with_balancer()
+    agent.outlet.request_bytes = lambda packet: 100
+    offer(agent)
+    agent.send(ANSWER)
+    begin = client_packet(
+        flags=ACKNOWLEDGE,
+        acknowledged=ANSWER_SEQUENCE + 1,
+        payload=b'x' * 60,
+    )
+    rest = client_packet(
+        flags=ACKNOWLEDGE,
+        acknowledged=ANSWER_SEQUENCE + 1,
+        sequence=60,
+        payload=b'x' * 40,
+    )
+    agent.hear(BALANCER, Carry(packet=begin))
+    assert agent.relay.busy(agent.now) == 0
+    agent.hear(BALANCER, Carry(packet=rest))
+    assert agent.relay.busy(agent.now) == 1
+
+
 def test_upstream_that_warms_up_is_full_sooner():
     agent = agent_with_balancer(announced=False)
     agent.announce(warmup_seconds=2)
