--- a/bluebellfold/standins/relay_ends.py
+++ b/bluebellfold/standins/relay_ends.py
@@ -1,10 +1,17 @@
 """Stand in for the two ends of relayed flows: a client and an upstream."""
 
 import asyncio
+import itertools
 import random
+import socket
 from collections.abc import Callable
 
-from bluebellfold.core import Endpoint, Packet, client_host
+from bluebellfold.core import (
+    Endpoint,
+    Packet,
+    client_host,
+    pack_address,
+)
 from bluebellfold.core.datagrams import Address, DatagramSocket
 from bluebellfold.platform import decode_packet
 from bluebellfold.standins.packets import (
@@ -20,6 +27,7 @@
 RETRY_SECONDS = 0.2
 ANSWER_SECONDS = 4.0
 LARGEST_PORT = 60_000
+PORTS = 65_536
 SEQUENCES = 1_000_000_000
 
 
@@ -35,6 +43,8 @@
     ) -> None:
         self.name = name
         self.accepts = True
+        self.listens = True
+        self.on_request: Callable[[bytes, str], None] | None = None
         self.requests: list[bytes] = []
         self.opened: list[bytes] = []
         self._outbound = (outbound.host, outbound.port)
@@ -45,6 +55,9 @@
 
     def close(self) -> None:
         """Stop to listen: packets are refused from now on."""
+        if not self.listens:
+            return
+        self.listens = False
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
 
@@ -53,6 +66,10 @@
         self._sequences.clear()
         self._answered.clear()
 
+    def holds(self, flow: bytes) -> bool:
+        """Tell whether a flow is open here."""
+        return self.listens and flow in self._answered
+
     def _read(self) -> None:
         for raw, _ in self._socket.receive():
             packet = decode_packet(raw, from_client=True)
@@ -83,6 +100,8 @@
         if packet.sequence not in answers:
             text = packet.raw[-packet.payload_bytes :]
             self.requests.append(text)
+            if self.on_request is not None:
+                self.on_request(text, self.name)
             answers[packet.sequence] = text
         body = f'{self.name}:'.encode() + answers[packet.sequence]
         self._send(packet, flags=ACKNOWLEDGE, payload=body)
@@ -95,7 +114,7 @@
         flow = packet.flow
         client = (client_host(flow), int.from_bytes(flow[6:8]))
         raw = write_packet(
-            source=SERVICE,
+            source=(socket.inet_ntoa(flow[2:6]), int.from_bytes(flow[:2])),
             destination=client,
             acknowledged=packet.sequence,
             **fields,
@@ -113,10 +132,16 @@
         self._route = route
         self._socket = DatagramSocket(endpoint=Endpoint(host=host, port=port))
         self._flows: dict[int, StandinFlow] = {}
+        self._is_open = True
+        # A port that is used again would name an earlier flow.
+        self._ports = itertools.count(random.randrange(1024, LARGEST_PORT))
         asyncio.get_running_loop().add_reader(self._socket, self._read)
 
     def close(self) -> None:
         """Give the socket back."""
+        if not self._is_open:
+            return
+        self._is_open = False
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
 
@@ -124,10 +149,14 @@
         """Send any bytes to any address."""
         self._socket.send_to(raw, address)
 
-    async def open(self) -> 'StandinFlow':
+    async def open(self, *, destination: Address = SERVICE) -> 'StandinFlow':
         """Return an open flow, or raise TimeoutError or FlowResetError."""
-        port = random.randrange(1024, LARGEST_PORT)
-        flow = StandinFlow(source=(self._host, port), send=self._send)
+        port = next(self._ports) % PORTS
+        flow = StandinFlow(
+            source=(self._host, port),
+            destination=destination,
+            send=self._send,
+        )
         self._flows[port] = flow
         await flow.open()
         return flow
@@ -148,14 +177,29 @@
     """Hold one flow of the client."""
 
     def __init__(
-        self, *, source: Address, send: Callable[[bytes], None]
+        self,
+        *,
+        source: Address,
+        destination: Address,
+        send: Callable[[bytes], None],
     ) -> None:
         self._source = source
+        self._destination = destination
         self._send = send
         self._sequence = 1
         self._acknowledged = 0
         self._came: asyncio.Queue[Packet] = asyncio.Queue()
 
+    @property
+    def source(self) -> Address:
+        """Return the flow's address and port at the client."""
+        return self._source
+
+    @property
+    def key(self) -> bytes:
+        """Return the flow's key."""
+        return pack_address(*self._destination) + pack_address(*self._source)
+
     def take(self, packet: Packet) -> None:
         """Take a packet of the upstream."""
         self._came.put_nowait(packet)
@@ -191,7 +235,7 @@
         self._send(
             write_packet(
                 source=self._source,
-                destination=SERVICE,
+                destination=self._destination,
                 sequence=self._sequence,
                 **fields,
             )
--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -26,7 +26,6 @@
 CONTROL_PORT = 28_166
 UPSTREAM_PORT = 28_080
 METRICS_PORT = 28_464
-CLIENT_HOST = '127.64.0.7'
 BEAT_MILLISECONDS = 300
 CALL_SECONDS = 2.0
 BORN = 1_760_000_000_000
@@ -86,9 +85,13 @@
 
 
 class RelaySite:
-    """Hold a store, balancers, and agents each beside an upstream."""
+    """Hold a store, balancers, and agents each beside an upstream.
 
-    def __init__(self, *, folder: Path) -> None:
+    Sites of different ``net`` can run beside each other.
+    """
+
+    def __init__(self, *, folder: Path, net: int = 0) -> None:
+        self._net = net
         self.platform = PlatformStandin()
         self.balancers: list[Child] = []
         self.agents: list[Child] = []
@@ -96,6 +99,7 @@
         self._folder = folder
         self._stack = AsyncExitStack()
         self._turn = itertools.count()
+        self._clients = itertools.count(1)
         self._sequences = itertools.count(1)
 
     @property
@@ -128,18 +132,35 @@
     def client(self, *, fixed: int | None = None) -> StandinClient:
         """Return a client whose packets go to all balancers in turn."""
         client = StandinClient(
-            host=CLIENT_HOST,
+            host=f'127.{self._net}.64.{next(self._clients)}',
             port=DATAGRAM_PORT,
             route=lambda: self._route(fixed),
         )
         self._stack.callback(client.close)
         return client
 
+    async def store_of(self, host: str) -> Endpoint:
+        """Return where the process of a host finds the store."""
+        return self.platform.endpoint
+
+    def replace_upstream(self, index: int) -> StandinUpstream:
+        """Start an upstream anew at its place, without its flows."""
+        former = self.upstreams[index]
+        upstream = StandinUpstream(
+            name=former.name,
+            listens=Endpoint(host=self._agent_host(index), port=UPSTREAM_PORT),
+            outbound=Endpoint(host=self._agent_host(index), port=OUTBOUND_PORT),
+        )
+        upstream.on_request = former.on_request
+        self.upstreams[index] = upstream
+        self._stack.callback(upstream.close)
+        return upstream
+
     async def announce(
         self, number: int, *, state: str = 'ready', born: int = BORN
     ) -> int:
         """Announce an upstream, and return the status of the answer."""
-        host = _agent_host(number)
+        host = self._agent_host(number)
         body = {
             'Service': SERVICE_NAME,
             'Address': f'{host}:{UPSTREAM_PORT}',
@@ -168,7 +189,7 @@
             method='POST',
             target=f'/bluebellfold/Instances.Deregister/i-{number}',
         )
-        await self._call(_agent_host(number), CONTROL_PORT, call)
+        await self._call(self._agent_host(number), CONTROL_PORT, call)
 
     async def is_ready(self, host: str) -> bool:
         """Tell whether a balancer takes new flows."""
@@ -198,18 +219,21 @@
         for number in range(agents):
             self._add_upstream(number)
         self.agents = await asyncio.gather(
-            *(self.start_agent(_agent_host(each)) for each in range(agents))
+            *(
+                self.start_agent(self._agent_host(each))
+                for each in range(agents)
+            )
         )
         self.balancers = await asyncio.gather(
             *(
-                self.start_balancer(_balancer_host(each))
+                self.start_balancer(self._balancer_host(each))
                 for each in range(balancers)
             )
         )
         await asyncio.gather(*self.announcements())
 
     def _add_upstream(self, index: int) -> None:
-        host = _agent_host(index)
+        host = self._agent_host(index)
         upstream = StandinUpstream(
             name=f'upstream-{index}',
             listens=Endpoint(host=host, port=UPSTREAM_PORT),
@@ -238,7 +262,7 @@
                 upstream=UPSTREAM_PORT,
                 metrics=METRICS_PORT,
                 beat=BEAT_MILLISECONDS,
-                store=self.platform.endpoint,
+                store=await self.store_of(host),
             ),
             encoding='utf-8',
         )
@@ -259,10 +283,8 @@
         finally:
             transport.close()
 
+    def _agent_host(self, number: int) -> str:
+        return f'127.{self._net}.2.{number}'
 
-def _agent_host(number: int) -> str:
-    return f'127.0.2.{number}'
-
-
-def _balancer_host(number: int) -> str:
-    return f'127.0.1.{number}'
+    def _balancer_host(self, number: int) -> str:
+        return f'127.{self._net}.1.{number}'
