--- a/bluebellfold/relay/agents/placing.py
+++ b/bluebellfold/relay/agents/placing.py
@@ -16,7 +16,7 @@
 # An upstream that warms up works about 1.6 times as long on a request.
 WARMING_FACTOR = 1.6
 # Upstreams differ by less than this in what requests they happen to get.
-SLOW_FROM = 1.5
+SLOW_FROM = 2.0
 # Keeps one odd measurement from shutting an upstream out.
 MOST_SLOWNESS = 8.0
 # With a quarter of its late requests failed, any other upstream serves
@@ -93,12 +93,14 @@
         return NO_AGENT
     # Where all fail, the cause is likely elsewhere.
     sound = [view for view in able if not is_failing(view)] or able
-    usual_seconds = _find_usual(sound)
-    roomy = tuple(view for view in sound if not is_full(view, usual_seconds))
+    roomy = tuple(view for view in sound if not is_full(view))
     if not roomy:
         return ALL_FULL
     question = Question(
-        views=roomy, zone=zone, draw=draw, usual_seconds=usual_seconds
+        views=roomy,
+        zone=zone,
+        draw=draw,
+        usual_seconds=_find_usual(sound),
     )
     return RULES.find(rule)(question)
 
@@ -108,10 +110,16 @@
     return view.load.served.failure_share >= FAILING_SHARE
 
 
-def is_full(view: AgentView, usual_seconds: float) -> bool:
-    """Tell whether one more request would wait too long at the upstream."""
-    room = view.load.slots * FULL_BUSY_PER_SLOT
-    return view.busy >= room / slowness(view, usual_seconds)
+def is_full(view: AgentView) -> bool:
+    """Tell whether one more request would wait too long at the upstream.
+
+    What was measured counts for the choice alone: among requests of a few
+    milliseconds it differs by chance, and would shut sound upstreams out.
+    """
+    load = view.load
+    return view.busy >= room_for(
+        FULL_BUSY_PER_SLOT, slots=load.slots, warming=load.warming
+    )
 
 
 def slowness(view: AgentView, usual_seconds: float) -> float:
--- a/bluebellfold/relay/callers/openings.py
+++ b/bluebellfold/relay/callers/openings.py
@@ -37,6 +37,9 @@
 # The first offers of a flow go only to agents that are as free as believed:
 # many balancers act on the same report, and would all choose the same agent.
 PICKY_OFFERS = 2
+# Where each upstream has a slot, one request more than believed is no reason
+# to go round.
+SLACK_REQUESTS = 1
 # An agent that left an offer unanswered is met again by its next report; it
 # is offered no flow until another agent would have restarted.
 SILENT_PAUSE_SECONDS = 0.3
@@ -233,7 +236,7 @@
         )
         most_busy = MOST_BUSY
         if assignment.declines < PICKY_OFFERS:
-            most_busy = view.busy + view.load.slots
+            most_busy = view.busy + view.load.slots + SLACK_REQUESTS
         view.count_offer()
         self._offers.add(packet, view.address, now)
         self._outlet.tell_agent(
