Ask for the owner of a flow in a few bytes

A balancer that took over flows sent the first packet of each to every agent: 61 copies of 1,232 bytes a flow, 73 KB, on links of 5 to 10 Mbit/s. It now asks with the flow's key, keeps the packets, and tries upstreams only where an agent has restarted and can't tell.

--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -9,9 +9,11 @@
     AgentLoad,
     Carry,
     Declined,
+    Denied,
     Held,
     Hello,
     LoadReport,
+    MayHold,
     NotHeld,
     Offer,
     Seek,
@@ -27,6 +29,8 @@
 _COUNTER = 0xFFFFFFFF
 _SHORT = 0xFFFF
 FLOW_BYTES = 12
+# The flow, and what its client acknowledged.
+_SOUGHT = struct.Struct('>12sI')
 
 UNREADABLE_MESSAGE = Sentinel(
     name='unreadable-message',
@@ -76,16 +80,33 @@
         return message_type(packet=packet) if packet else packet
 
 
+def _add_flow(kind: int, message_type: Any) -> None:
+    """Register a message that names a flow and nothing else."""
+
+    @ENCODERS.add(message_type)
+    def _encode(message: Any) -> bytes:  # noqa: WPS430
+        return bytes((kind,)) + message.flow
+
+    @DECODERS.add(kind)
+    def _decode(datagram: bytes, _: PacketReader) -> Any:  # noqa: WPS430
+        flow = datagram[1:]
+        if len(flow) != FLOW_BYTES:
+            return UNREADABLE_MESSAGE
+        return message_type(flow=flow)
+
+
 _add_plain(1, Carry)
-_add_plain(2, Seek)
 _add_plain(3, NotHeld)
+_add_flow(6, Held)
+_add_flow(9, Denied)
+_add_flow(10, MayHold)
 
+_SEEK = 2
 _OFFER = 4
 # The kind, the most requests in progress, the length of the service's name.
 _OFFER_HEAD = 3
 _BYTE = 0xFF
 _DECLINED = 5
-_HELD = 6
 _HELLO_KIND = 7
 _REPORT = 8
 
@@ -128,15 +149,15 @@
     return Declined(packet=packet, reason=datagram[1])
 
 
-@ENCODERS.add(Held)
-def _encode_held(message: Held) -> bytes:
-    return bytes((_HELD,)) + message.flow
+@ENCODERS.add(Seek)
+def _encode_seek(message: Seek) -> bytes:
+    return bytes((_SEEK,)) + _SOUGHT.pack(message.flow, message.acknowledged)
 
 
-@DECODERS.add(_HELD)
-def _decode_held(datagram: bytes, _: PacketReader) -> Any:
-    flow = datagram[1:]
-    return Held(flow=flow) if len(flow) == FLOW_BYTES else UNREADABLE_MESSAGE
+@DECODERS.add(_SEEK)
+def _decode_seek(datagram: bytes, _: PacketReader) -> Any:
+    flow, acknowledged = _SOUGHT.unpack(datagram[1:])
+    return Seek(flow=flow, acknowledged=acknowledged)
 
 
 @ENCODERS.add(Hello)
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -159,10 +159,31 @@
     __slots__ = ()
 
 
-class Seek(PacketMessage):
-    """Bring a packet to an agent that may hold its flow."""
+class FlowMessage(Message):
+    """Name a flow."""
 
-    __slots__ = ()
+    __slots__ = ('_flow',)
+
+    flow: bytes = read_only('_flow')
+
+    def __init__(self, *, flow: bytes) -> None:
+        self._flow = flow
+
+
+class Seek(FlowMessage):
+    """Ask an agent whether its upstream holds a flow.
+
+    ``acknowledged`` is from the client's packet: it tells which upstream the
+    client chose, if several answered its opening packet.
+    """
+
+    __slots__ = ('_acknowledged',)
+
+    acknowledged: int = read_only('_acknowledged')
+
+    def __init__(self, *, flow: bytes, acknowledged: int) -> None:
+        super().__init__(flow=flow)
+        self._acknowledged = acknowledged
 
 
 class Declined(PacketMessage):
@@ -183,15 +204,22 @@
     __slots__ = ()
 
 
-class Held(Message):
+class Held(FlowMessage):
     """Tell that the agent's upstream holds a flow."""
 
-    __slots__ = ('_flow',)
+    __slots__ = ()
 
-    flow: bytes = read_only('_flow')
 
-    def __init__(self, *, flow: bytes) -> None:
-        self._flow = flow
+class Denied(FlowMessage):
+    """Tell that the agent's upstream doesn't hold a flow."""
+
+    __slots__ = ()
+
+
+class MayHold(FlowMessage):
+    """Tell that the agent can't tell without a packet of the flow."""
+
+    __slots__ = ()
 
 
 class Hello(Message):
--- a/bluebellfold/relay/callers/owners.py
+++ b/bluebellfold/relay/callers/owners.py
@@ -9,7 +9,9 @@
 from bluebellfold.relay.agents import (
     Address,
     Carry,
+    Denied,
     Held,
+    MayHold,
     NotHeld,
     Roster,
     Seek,
@@ -50,26 +52,39 @@
         assignment.touch(now)
         self._outlet.tell_agent(agent, Carry(packet=packet))
 
-    def note_denial(
+    def take_back(
         self, message: NotHeld, address: Address, now: float, *, certain: bool
     ) -> None:
-        """Take that an agent's upstream doesn't hold a flow.
+        """Take a packet that an agent's upstream gave back.
 
         ``certain`` tells that no agent is missing from the roster.
         """
         packet = message.packet
-        assignment = self._flows.find(packet.flow)
-        if assignment is not None and assignment.agent == address:
-            self._flows.forget(packet.flow)
-        elif assignment is not None and assignment.agent is not None:
-            # Another agent answered meanwhile that the flow is its own.
+        if not self._accept_denial(packet.flow, address):
             return
         search = self._searches.find(packet.flow)
         if search is None:
-            search = self._ask_all(packet, now, besides=address)
-        search.denied.add(address)
+            search = self._ask_all(packet, now)
+        search.deny(address)
         if certain:
-            self._end_if_all_denied(packet, search.denied, now)
+            self._end_if_all_denied(packet.flow, search, now)
+
+    def note_denial(
+        self, message: Denied, address: Address, now: float, *, certain: bool
+    ) -> None:
+        """Take that an agent's upstream doesn't hold a flow."""
+        search = self._searches.find(message.flow)
+        if search is None or not self._accept_denial(message.flow, address):
+            return
+        search.deny(address)
+        if certain:
+            self._end_if_all_denied(message.flow, search, now)
+
+    def note_doubt(self, message: MayHold, address: Address) -> None:
+        """Take that an agent doesn't know whether it holds a flow."""
+        search = self._searches.find(message.flow)
+        if search is not None:
+            search.doubt(address)
 
     def note_owner(self, message: Held, address: Address, now: float) -> None:
         """Take that an agent's upstream holds a flow."""
@@ -82,46 +97,60 @@
         self._journal.count('flows-found')
         self._journal.note('BBF0705', flow=show_flow(flow), agent=address[0])
 
+    def tick(self, now: float) -> None:
+        """Try the upstreams of agents that can't tell what they hold."""
+        for search in self._searches.under_way():
+            for address in search.take_unsure(now):
+                self._outlet.tell_agent(address, Carry(packet=search.kept[0]))
+
     def expire(self, now: float) -> None:
         """Forget searches that nobody answered."""
         self._searches.expire(now)
 
+    def _accept_denial(self, flow: bytes, address: Address) -> bool:
+        assignment = self._flows.find(flow)
+        if assignment is None or assignment.agent is None:
+            return True
+        if assignment.agent != address:
+            # Another agent answered meanwhile that the flow is its own.
+            return False
+        self._flows.forget(flow)
+        return True
+
     def _seek(self, packet: Packet, now: float) -> None:
         search = self._searches.find(packet.flow)
         if search is None or search.is_over(now):
             self._ask_all(packet, now)
             return
-        if search.keep(packet, now):
-            return
-        self._send_to_all(packet, None)
+        search.keep(packet)
+        if search.ask_again(now):
+            self._send_to_all(packet)
 
-    def _ask_all(
-        self, packet: Packet, now: float, besides: Address | None = None
-    ) -> Search:
+    def _ask_all(self, packet: Packet, now: float) -> Search:
         self._journal.count('flows-sought')
         search = self._searches.start(packet.flow, now)
-        self._send_to_all(packet, besides)
+        search.keep(packet)
+        self._send_to_all(packet)
         return search
 
-    def _send_to_all(self, packet: Packet, besides: Address | None) -> None:
+    def _send_to_all(self, packet: Packet) -> None:
+        sought = Seek(flow=packet.flow, acknowledged=packet.acknowledged)
         for view in self._roster.views:
-            if view.address != besides:
-                self._outlet.tell_agent(view.address, Seek(packet=packet))
+            self._outlet.tell_agent(view.address, sought)
 
     def _end_if_all_denied(
-        self, packet: Packet, denied: set[Address], now: float
+        self, flow: bytes, search: Search, now: float
     ) -> None:
-        asked = {
+        asked = [
             view.address for view in self._roster.views if not view.is_lost(now)
-        }
-        if not asked <= denied:
+        ]
+        if not search.is_denied_by(asked):
             return
-        self._searches.end(packet.flow)
-        self._flows.forget(packet.flow)
+        packet = search.kept[-1]
+        self._searches.end(flow)
+        self._flows.forget(flow)
         if packet.resets:
             return
         self._outlet.reset_client(packet)
         self._journal.count('flows-lost')
-        self._journal.note(
-            'BBF0706', flow=show_flow(packet.flow), denied=len(denied)
-        )
+        self._journal.note('BBF0706', flow=show_flow(flow), denied=len(asked))
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -8,9 +8,11 @@
     Address,
     AgentView,
     Declined,
+    Denied,
     Held,
     Hello,
     LoadReport,
+    MayHold,
     NotHeld,
     Roster,
     Versions,
@@ -171,6 +173,7 @@
         """Do what is due; call this about twenty times a second."""
         self._notice_pause(now)
         self._openings.tick(now)
+        self._owners.tick(now)
         for silent in self._roster.views:
             if silent.notice_silence(now):
                 self._journal.note(
@@ -215,14 +218,32 @@
         self, message: NotHeld, address: Address, now: float
     ) -> None:
         self._notice_pause(now)
-        # An agent that only others know may hold the flow.
-        certain = not self._newest_agents.is_beyond(self._agents_revision)
+        certain = self._knows_all_agents
+        self._owners.take_back(message, address, now, certain=certain)
+
+    @take_message.register
+    def _take_denied(
+        self, message: Denied, address: Address, now: float
+    ) -> None:
+        self._notice_pause(now)
+        certain = self._knows_all_agents
         self._owners.note_denial(message, address, now, certain=certain)
 
+    @take_message.register
+    def _take_doubt(
+        self, message: MayHold, address: Address, now: float
+    ) -> None:
+        self._owners.note_doubt(message, address)
+
     @take_message.register
     def _take_held(self, message: Held, address: Address, now: float) -> None:
         self._owners.note_owner(message, address, now)
 
+    @property
+    def _knows_all_agents(self) -> bool:
+        # An agent that only others know may hold a flow that all deny here.
+        return not self._newest_agents.is_beyond(self._agents_revision)
+
     def _notice_pause(self, now: float) -> None:
         paused = now - self._ran_at
         self._ran_at = now
--- a/bluebellfold/relay/upstreams/carriage.py
+++ b/bluebellfold/relay/upstreams/carriage.py
@@ -6,8 +6,12 @@
     DOWN,
     Address,
     Declined,
+    Denied,
+    FlowMessage,
     Held,
+    MayHold,
     NotHeld,
+    Seek,
 )
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.flows import (
@@ -56,23 +60,29 @@
         self._journal = journal
         self._sought: dict[bytes, dict[Address, Packet]] = {}
 
-    def bring(
-        self, packet: Packet, address: Address, now: float, *, sought: bool
-    ) -> None:
+    def answer(self, message: Seek, address: Address, now: float) -> None:
+        """Tell a balancer whether the upstream holds a flow."""
+        flow = self._flows.find(message.flow)
+        told: type[FlowMessage] = Denied
+        if flow is not None and flow.is_acknowledged(message.acknowledged):
+            told = Held
+        elif flow is None and not self._is_known_to_lack(now):
+            told = MayHold
+        self._outlet.tell_balancer(address, told(flow=message.flow))
+
+    def bring(self, packet: Packet, address: Address, now: float) -> None:
         """Take a client's packet to the upstream, if it holds the flow."""
         flow = self._flows.find(packet.flow)
         if flow is None:
             self._bring_unknown(packet, address, now)
             return
-        if not flow.belongs(packet):
+        if not flow.is_acknowledged(packet.acknowledged):
             self._deny(packet, address)
             return
         if flow.state == ANSWERED:
             flow.open()
             self._journal.count('flows-opened')
             self._journal.note('BBF0722', flow=show_flow(packet.flow))
-        if sought:
-            self._outlet.tell_balancer(address, Held(flow=packet.flow))
         if flow.send_to_upstream(packet, now):
             self._begin_request(packet, flow)
         if flow.complete_request(now):
@@ -101,14 +111,18 @@
     def _bring_unknown(
         self, packet: Packet, address: Address, now: float
     ) -> None:
-        certain = self._standing.is_certain(now)
-        if certain or self._health.state(now) == DOWN:
+        if self._is_known_to_lack(now):
             self._deny(packet, address)
             return
         # The upstream gives the packet back if it doesn't hold the flow.
         self._sought.setdefault(packet.flow, {})[address] = packet
         self._outlet.send_upstream(packet, address)
 
+    def _is_known_to_lack(self, now: float) -> bool:
+        """Tell whether a flow that isn't known here is not held."""
+        certain = self._standing.is_certain(now)
+        return certain or self._health.state(now) == DOWN
+
     def _take_returned(self, packet: Packet) -> None:
         flow = self._flows.find(packet.flow)
         balancer = self._standing.subscriptions.find_tagged(packet.tag)
--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -136,7 +136,7 @@
         self._state = ANSWERED
         self._answer_sequence = packet.sequence
 
-    def belongs(self, packet: Packet) -> bool:
+    def is_acknowledged(self, acknowledged: int) -> bool:
         """Tell whether the client chose this upstream's answer."""
         if self._state == OFFERED:
             return False
@@ -144,7 +144,7 @@
         if first is None:
             return True
         last = first if self._sent_to_client is None else self._sent_to_client
-        beyond = (packet.acknowledged - first) % _SEQUENCES
+        beyond = (acknowledged - first) % _SEQUENCES
         # The end of a flow takes one number more.
         return beyond <= (last - first) % _SEQUENCES + self._finished
 
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -183,11 +183,11 @@
 
     @take_message.register
     def _take_carry(self, message: Carry, address: Address, now: float) -> None:
-        self._carriage.bring(message.packet, address, now, sought=False)
+        self._carriage.bring(message.packet, address, now)
 
     @take_message.register
     def _take_seek(self, message: Seek, address: Address, now: float) -> None:
-        self._carriage.bring(message.packet, address, now, sought=True)
+        self._carriage.answer(message, address, now)
 
     def _forget_flows(self, now: float, reason: str) -> None:
         forgotten = self._flows.clear()
