--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -28,6 +28,7 @@
     __slots__ = (
         '_answer_sequence',
         '_balancer',
+        '_beyond_hole',
         '_busy_with',
         '_client_finished',
         '_client_sequence',
@@ -36,11 +37,11 @@
         '_finished',
         '_hangs',
         '_opening',
+        '_reached',
         '_request_end',
         '_request_id',
         '_requested_at',
         '_sent_to_client',
-        '_sent_to_upstream',
         '_state',
         '_used_at',
         '_whole_at',
@@ -57,7 +58,10 @@
         self._requested_at: float | None = None
         self._request_id = ''
         self._sent_to_client: int | None = None
-        self._sent_to_upstream: int | None = None
+        # Up to where the upstream has all that the client sent, and what it
+        # has beyond a hole, by its first number.
+        self._reached: int | None = None
+        self._beyond_hole: dict[int, int] = {}
         self._finished = False
         self._client_finished = False
         self._confirmed = False
@@ -173,10 +177,8 @@
             self.end_request()
         if not packet.payload_bytes:
             return False
-        end = (packet.sequence + packet.payload_bytes) % _SEQUENCES
-        if not _is_new(end, self._sent_to_upstream):
+        if not self._reach(packet):
             return False
-        self._sent_to_upstream = end
         if self._client_finished or self._requested_at is not None:
             return False
         self._requested_at = now
@@ -212,7 +214,7 @@
         if self._requested_at is None or self._whole_at is not None:
             return False
         end = self._request_end
-        if end is not None and _is_new(end, self._sent_to_upstream):
+        if end is not None and _is_new(end, self._reached):
             return False
         self._whole_at = now
         return True
@@ -233,6 +235,21 @@
         self._requested_at = None
         self._whole_at = None
 
+    def _reach(self, packet: Packet) -> bool:
+        """Take a client's data, and tell whether it is new."""
+        start = packet.sequence
+        end = (start + packet.payload_bytes) % _SEQUENCES
+        if not _is_new(end, self._reached) or start in self._beyond_hole:
+            return False
+        if self._reached is not None and _is_new(start, self._reached):
+            # A packet before it was lost: the client sends that one again.
+            self._beyond_hole[start] = end
+            return True
+        while end in self._beyond_hole:
+            end = self._beyond_hole.pop(end)
+        self._reached = end
+        return True
+
     def _first_sequence(self) -> int | None:
         """Return what a client acknowledges first, None if not known."""
         if self._answer_sequence is not None:
--- a/bluebellfold/relay/upstreams/tests/test_relay.py
+++ b/bluebellfold/relay/upstreams/tests/test_relay.py
@@ -230,6 +230,29 @@
     assert agent.relay.busy(agent.now) == 1
 
 
+def test_upload_with_a_lost_packet_is_no_load_until_it_is_sent_again():
+    # A thin link that is full loses packets, and a client sends them again
+    # after 0.2 s and more.
+    agent = agent_with_balancer()
+    agent.outlet.request_bytes = lambda packet: 150
+    offer(agent)
+    agent.send(ANSWER)
+    parts = [
+        client_packet(
+            flags=ACKNOWLEDGE,
+            acknowledged=ANSWER_SEQUENCE + 1,
+            sequence=start,
+            payload=b'x' * 50,
+        )
+        for start in (0, 100, 50)
+    ]
+    for part in parts[:2]:
+        agent.hear(BALANCER, Carry(packet=part))
+    assert agent.relay.busy(agent.now) == 0
+    agent.hear(BALANCER, Carry(packet=parts[2]))
+    assert agent.relay.busy(agent.now) == 1
+
+
 def test_upstream_that_warms_up_is_full_sooner():
     agent = agent_with_balancer(announced=False)
     agent.announce(warmup_seconds=2)
