--- /dev/null
+++ b/bluebellfold/relay/collectors/tests/test_journal.py
@@ -0,0 +1,37 @@
+"""Test that decisions are logged up to a rate, and counted beyond."""
+
+import logging
+
+from bluebellfold.core import ManualClock
+from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.collectors.journal import LINES_PER_SECOND, SUPPRESSED
+
+EVENT = 'BBF0738'
+
+
+def journal_and_clock():
+    clock = ManualClock(start=0)
+    logger = logging.getLogger('bluebellfold.test.journal')
+    logger.setLevel(logging.DEBUG)
+    return Journal(logger=logger, clock=clock), clock
+
+
+def events(caplog):
+    return [record.event for record in caplog.records]
+
+
+def test_lines_beyond_the_rate_are_left_out_and_counted(caplog):
+    journal, clock = journal_and_clock()
+    for _ in range(int(LINES_PER_SECOND) + 5):
+        journal.note(EVENT, state='sought')
+    assert len(events(caplog)) == LINES_PER_SECOND
+    clock.advance(1)
+    journal.note(EVENT, state='sought')
+    assert events(caplog)[-2:] == [SUPPRESSED, EVENT]
+    assert caplog.records[-2].lines == 5
+
+
+def test_line_says_what_decided(caplog):
+    journal, _ = journal_and_clock()
+    journal.note('BBF0741', paused_ms=900)
+    assert caplog.records[-1].paused_ms == 900
