--- a/bluebellfold/soak/run.py
+++ b/bluebellfold/soak/run.py
@@ -89,9 +89,7 @@
             await _wait_until_served(site)
     except TimeoutError:
         site.ledger.broken.append('not served after the last fault')
-    for task in work:
-        task.cancel()
-    ended = await asyncio.gather(*work, return_exceptions=True)
+    ended = await _end(work)
     site.ledger.broken.extend(
         f'a caller failed: {error!r}'
         for error in ended
@@ -99,6 +97,18 @@
     )
 
 
+async def _end(work: list[asyncio.Task[None]]) -> list[BaseException | None]:
+    """Cancel tasks, and return how they ended."""
+    pending = set(work)
+    while pending:
+        for task in pending:
+            task.cancel()
+        # Python 3.11's wait_for loses a cancellation that comes together with
+        # what it waits for, so one may not be enough.
+        _, pending = await asyncio.wait(pending, timeout=POLL_SECONDS)
+    return await asyncio.gather(*work, return_exceptions=True)
+
+
 async def _strike(site: SoakSite, strike: Strike) -> None:
     await asyncio.sleep(max(0, strike.at - site.now()))
     await FAULTS.find(strike.kind)(site, strike)
