--- /dev/null
+++ b/bluebellfold/relay/callers/tests/scene.py
@@ -0,0 +1,23 @@
+"""Give the tests a balancer that knows some agents."""
+
+from bluebellfold.relay.tests.scene import (
+    Balancer,
+)
+from bluebellfold.standins.packets import (
+    ACKNOWLEDGE,
+    client_packet,
+)
+
+FIRST = ('10.0.0.1', 8172)
+SECOND = ('10.0.0.2', 8172)
+THIRD = ('10.0.0.3', 8172)
+DATA = client_packet(flags=ACKNOWLEDGE, payload=b'more')
+
+
+def balancer_with(*reports, **fields):
+    agents = (FIRST, SECOND, THIRD)[: len(reports)]
+    balancer = Balancer(agents=agents, **fields)
+    for address, report in zip(agents, reports, strict=True):
+        balancer.hear(address, report)
+    balancer.outlet.told.clear()
+    return balancer
--- /dev/null
+++ b/bluebellfold/relay/callers/tests/test_beliefs.py
@@ -0,0 +1,90 @@
+"""Test what a balancer believes of agents and of its configuration."""
+
+from bluebellfold.core import NO_ROUTES
+from bluebellfold.relay.agents import (
+    DRAINING,
+    Hello,
+    Offer,
+)
+from bluebellfold.relay.callers.tests.scene import (
+    FIRST,
+    SECOND,
+    balancer_with,
+)
+from bluebellfold.relay.tests.scene import (
+    Balancer,
+    report_of,
+    route_to,
+    table_of,
+    versions_of,
+)
+from bluebellfold.standins.packets import (
+    opening_packet,
+)
+
+
+def test_configuration_never_goes_back():
+    balancer = balancer_with(report_of(), routes=table_of(version=3))
+    older = table_of(route_to(), version=2)
+    assert not balancer.relay.change_routes(older, now=balancer.now)
+    balancer.receive(opening_packet())
+    assert len(balancer.outlet.resets) == 1
+
+
+def test_balancer_notices_that_others_have_a_newer_configuration():
+    balancer = balancer_with(report_of())
+    balancer.hear(
+        FIRST, report_of(sequence=2, versions=versions_of(configuration=5))
+    )
+    assert not balancer.relay.routes_lag(balancer.now)
+    balancer.wait(0.4)
+    assert balancer.relay.routes_lag(balancer.now)
+    balancer.relay.change_routes(table_of(version=5), now=balancer.now)
+    assert not balancer.relay.routes_lag(balancer.now)
+
+
+def test_report_of_an_earlier_start_is_ignored():
+    balancer = balancer_with(report_of(start=5, state=DRAINING))
+    balancer.hear(FIRST, report_of(start=4, sequence=9))
+    balancer.receive(opening_packet())
+    assert not balancer.outlet.take(Offer)
+
+
+def test_agent_that_starts_on_a_clock_that_was_set_back_is_met_again():
+    balancer = balancer_with(report_of(start=5))
+    balancer.wait(1)
+    balancer.hear(FIRST, report_of(start=4))
+    balancer.receive(opening_packet())
+    assert [address for address, _ in balancer.outlet.take(Offer)] == [FIRST]
+
+
+def test_agents_are_greeted_at_once_and_regularly():
+    balancer = Balancer(agents=(FIRST,))
+    assert [address for address, _ in balancer.outlet.take(Hello)] == [FIRST]
+    balancer.hear(FIRST, report_of())
+    balancer.wait(0.05)
+    balancer.outlet.told.clear()
+    balancer.wait(0.6)
+    assert [address for address, _ in balancer.outlet.take(Hello)] == [FIRST]
+
+
+def test_agent_that_is_about_to_start_is_greeted_at_every_tick():
+    # After a power loss balancers know the list before agents listen.
+    balancer = Balancer(agents=(FIRST, SECOND))
+    balancer.hear(SECOND, report_of())
+    balancer.wait(0.1)
+    balancer.outlet.told.clear()
+    balancer.wait(0.1)
+    greeted = [address for address, _ in balancer.outlet.take(Hello)]
+    assert set(greeted) == {FIRST}
+    assert len(greeted) >= 2
+
+
+def test_readiness_needs_routes_and_a_live_agent():
+    assert not Balancer(agents=(FIRST,), routes=NO_ROUTES).relay.is_ready(100)
+    balancer = Balancer(agents=(FIRST,))
+    assert not balancer.relay.is_ready(balancer.now)
+    balancer.hear(FIRST, report_of())
+    assert balancer.relay.is_ready(balancer.now)
+    balancer.wait(1)
+    assert not balancer.relay.is_ready(balancer.now)
--- a/bluebellfold/relay/callers/tests/test_relay.py
+++ b/bluebellfold/relay/callers/tests/test_openings.py
@@ -1,51 +1,33 @@
-"""Test what a balancer decides for the packets of its callers."""
+"""Test where a balancer places new flows, and how they wait."""
 
 from bluebellfold.core import NO_ROUTES
 from bluebellfold.relay.agents import (
     DECLINED_FULL,
     DOWN,
     DRAINING,
-    Carry,
     Declined,
-    Denied,
-    Held,
-    Hello,
-    MayHold,
-    NotHeld,
     Offer,
-    Seek,
-    encode_message,
 )
 from bluebellfold.relay.callers.openings import MOST_BUSY
+from bluebellfold.relay.callers.tests.scene import (
+    DATA,
+    FIRST,
+    SECOND,
+    THIRD,
+    balancer_with,
+)
 from bluebellfold.relay.tests.scene import (
-    Balancer,
     only,
     report_of,
     route_to,
     table_of,
-    versions_of,
 )
 from bluebellfold.standins.packets import (
-    ACKNOWLEDGE,
     OPEN,
     client_packet,
     opening_packet,
 )
 
-FIRST = ('10.0.0.1', 8172)
-SECOND = ('10.0.0.2', 8172)
-THIRD = ('10.0.0.3', 8172)
-DATA = client_packet(flags=ACKNOWLEDGE, payload=b'more')
-
-
-def balancer_with(*reports, **fields):
-    agents = (FIRST, SECOND, THIRD)[: len(reports)]
-    balancer = Balancer(agents=agents, **fields)
-    for address, report in zip(agents, reports, strict=True):
-        balancer.hear(address, report)
-    balancer.outlet.told.clear()
-    return balancer
-
 
 def test_new_flow_goes_to_the_agent_with_the_least_work():
     balancer = balancer_with(report_of(busy=3), report_of(busy=1))
@@ -265,100 +247,6 @@
     assert not balancer.outlet.take(Offer)
 
 
-def test_configuration_never_goes_back():
-    balancer = balancer_with(report_of(), routes=table_of(version=3))
-    older = table_of(route_to(), version=2)
-    assert not balancer.relay.change_routes(older, now=balancer.now)
-    balancer.receive(opening_packet())
-    assert len(balancer.outlet.resets) == 1
-
-
-def test_balancer_notices_that_others_have_a_newer_configuration():
-    balancer = balancer_with(report_of())
-    balancer.hear(
-        FIRST, report_of(sequence=2, versions=versions_of(configuration=5))
-    )
-    assert not balancer.relay.routes_lag(balancer.now)
-    balancer.wait(0.4)
-    assert balancer.relay.routes_lag(balancer.now)
-    balancer.relay.change_routes(table_of(version=5), now=balancer.now)
-    assert not balancer.relay.routes_lag(balancer.now)
-
-
-def test_packets_of_an_open_flow_go_to_its_agent():
-    balancer = balancer_with(report_of(), report_of(busy=1))
-    balancer.receive(opening_packet())
-    balancer.receive(DATA)
-    assert balancer.outlet.take(Carry) == [(FIRST, Carry(packet=DATA))]
-
-
-def test_unknown_flow_is_sought_at_all_agents_and_kept_where_it_is_held():
-    balancer = balancer_with(report_of(), report_of(), report_of())
-    balancer.receive(DATA)
-    sought = [address for address, _ in balancer.outlet.take(Seek)]
-    assert sorted(sought) == [FIRST, SECOND, THIRD]
-    balancer.receive(DATA)
-    assert not balancer.outlet.take(Seek), 'the owner is about to answer'
-    balancer.hear(THIRD, Held(flow=DATA.flow))
-    carried = balancer.outlet.take(Carry)
-    assert carried == [(THIRD, Carry(packet=DATA)) for _ in range(2)]
-    balancer.receive(DATA)
-    assert balancer.outlet.take(Carry) == [(THIRD, Carry(packet=DATA))]
-
-
-def test_search_costs_each_agent_a_few_bytes():
-    # A balancer on a link of 10 Mbit/s that takes over a hundred flows would
-    # be choked by their packets, once for each of 61 agents.
-    balancer = balancer_with(report_of(), report_of(), report_of())
-    balancer.receive(client_packet(flags=ACKNOWLEDGE, payload=b'x' * 1200))
-    sent = [encode_message(message) for _, message in balancer.outlet.told]
-    assert sum(map(len, sent)) < 100
-
-
-def test_upstream_is_tried_where_the_agent_cannot_tell():
-    # The agent has restarted beside a living upstream.
-    balancer = balancer_with(report_of(), report_of())
-    balancer.receive(DATA)
-    balancer.hear(FIRST, Denied(flow=DATA.flow))
-    balancer.hear(SECOND, MayHold(flow=DATA.flow))
-    assert not balancer.outlet.resets
-    assert not balancer.outlet.take(Carry)
-    balancer.wait(0.1)
-    assert balancer.outlet.take(Carry) == [(SECOND, Carry(packet=DATA))]
-    balancer.hear(SECOND, NotHeld(packet=DATA))
-    assert balancer.outlet.resets == [DATA]
-
-
-def test_no_upstream_is_tried_where_the_owner_answers():
-    balancer = balancer_with(report_of(), report_of())
-    balancer.receive(DATA)
-    balancer.hear(SECOND, MayHold(flow=DATA.flow))
-    balancer.hear(FIRST, Held(flow=DATA.flow))
-    balancer.outlet.take(Carry)
-    balancer.wait(0.1)
-    assert not balancer.outlet.take(Carry)
-
-
-def test_flow_is_not_reset_while_others_know_an_agent_more():
-    # The watch of the list has fallen silent, and the flow may be open at an
-    # agent that was added since.
-    balancer = balancer_with(
-        report_of(), report_of(versions=versions_of(agents=7))
-    )
-    balancer.receive(DATA)
-    for agent in (FIRST, SECOND):
-        balancer.hear(agent, NotHeld(packet=DATA))
-    assert not balancer.outlet.resets
-    balancer.wait(0.4)
-    assert balancer.relay.agents_lag(balancer.now)
-    balancer.relay.change_agents(
-        (FIRST, SECOND, THIRD), balancer.now, revision=7
-    )
-    assert not balancer.relay.agents_lag(balancer.now)
-    balancer.receive(DATA)
-    assert THIRD in [address for address, _ in balancer.outlet.take(Seek)]
-
-
 def test_offer_to_an_agent_that_was_killed_goes_to_another():
     # Its last report is still fresh, and the client repeats its opening
     # packet only after 0.2 s.
@@ -390,96 +278,6 @@
     assert not balancer.outlet.take(Offer)
 
 
-def test_flow_that_nobody_holds_is_reset_once_all_have_said_so():
-    balancer = balancer_with(report_of(), report_of())
-    balancer.receive(DATA)
-    balancer.hear(FIRST, NotHeld(packet=DATA))
-    assert not balancer.outlet.resets
-    balancer.hear(SECOND, NotHeld(packet=DATA))
-    assert balancer.outlet.resets == [DATA]
-
-
-def test_flow_is_not_reset_while_an_agent_restarts():
-    # An agent that restarts beside a living upstream is silent for less than
-    # three seconds; its flows are open all the while.
-    balancer = balancer_with(report_of(), report_of())
-    balancer.wait(1.5)
-    balancer.hear(FIRST, report_of(sequence=2))
-    balancer.receive(DATA)
-    balancer.hear(FIRST, NotHeld(packet=DATA))
-    assert not balancer.outlet.resets
-
-
-def test_flow_is_reset_when_the_only_silent_agent_is_lost():
-    balancer = balancer_with(report_of(), report_of())
-    balancer.wait(3.5)
-    balancer.hear(FIRST, report_of(sequence=2))
-    balancer.receive(DATA)
-    balancer.hear(FIRST, NotHeld(packet=DATA))
-    assert balancer.outlet.resets == [DATA]
-
-
-def test_balancer_that_stood_still_resets_no_flow_before_agents_report():
-    # It wakes to find all agents silent for longer than a restart takes, and
-    # the first denial comes before the owner's report.
-    balancer = balancer_with(report_of(), report_of())
-    balancer.wait(0.1)
-    balancer.clock.advance(4)
-    balancer.receive(DATA)
-    balancer.hear(FIRST, report_of(sequence=2))
-    balancer.hear(FIRST, NotHeld(packet=DATA))
-    assert not balancer.outlet.resets
-    balancer.hear(SECOND, Held(flow=DATA.flow))
-    assert not balancer.outlet.resets
-
-
-def test_late_denial_of_one_agent_does_not_undo_a_found_flow():
-    balancer = balancer_with(report_of(), report_of())
-    balancer.receive(DATA)
-    balancer.hear(SECOND, Held(flow=DATA.flow))
-    balancer.hear(FIRST, NotHeld(packet=DATA))
-    balancer.outlet.told.clear()
-    balancer.receive(DATA)
-    assert balancer.outlet.take(Carry) == [(SECOND, Carry(packet=DATA))]
-
-
-def test_report_of_an_earlier_start_is_ignored():
-    balancer = balancer_with(report_of(start=5, state=DRAINING))
-    balancer.hear(FIRST, report_of(start=4, sequence=9))
-    balancer.receive(opening_packet())
-    assert not balancer.outlet.take(Offer)
-
-
-def test_agent_that_starts_on_a_clock_that_was_set_back_is_met_again():
-    balancer = balancer_with(report_of(start=5))
-    balancer.wait(1)
-    balancer.hear(FIRST, report_of(start=4))
-    balancer.receive(opening_packet())
-    assert [address for address, _ in balancer.outlet.take(Offer)] == [FIRST]
-
-
-def test_agents_are_greeted_at_once_and_regularly():
-    balancer = Balancer(agents=(FIRST,))
-    assert [address for address, _ in balancer.outlet.take(Hello)] == [FIRST]
-    balancer.hear(FIRST, report_of())
-    balancer.wait(0.05)
-    balancer.outlet.told.clear()
-    balancer.wait(0.6)
-    assert [address for address, _ in balancer.outlet.take(Hello)] == [FIRST]
-
-
-def test_agent_that_is_about_to_start_is_greeted_at_every_tick():
-    # After a power loss balancers know the list before agents listen.
-    balancer = Balancer(agents=(FIRST, SECOND))
-    balancer.hear(SECOND, report_of())
-    balancer.wait(0.1)
-    balancer.outlet.told.clear()
-    balancer.wait(0.1)
-    greeted = [address for address, _ in balancer.outlet.take(Hello)]
-    assert set(greeted) == {FIRST}
-    assert len(greeted) >= 2
-
-
 def test_upstream_that_warms_up_holds_fewer_requests():
     # Three requests a slot would be answered after the target latency.
     balancer = balancer_with(report_of(busy=4, warming=True))
@@ -487,13 +285,3 @@
     assert not balancer.outlet.take(Offer)
     balancer.hear(FIRST, report_of(busy=4, sequence=2))
     assert len(balancer.outlet.take(Offer)) == 1
-
-
-def test_readiness_needs_routes_and_a_live_agent():
-    assert not Balancer(agents=(FIRST,), routes=NO_ROUTES).relay.is_ready(100)
-    balancer = Balancer(agents=(FIRST,))
-    assert not balancer.relay.is_ready(balancer.now)
-    balancer.hear(FIRST, report_of())
-    assert balancer.relay.is_ready(balancer.now)
-    balancer.wait(1)
-    assert not balancer.relay.is_ready(balancer.now)
--- /dev/null
+++ b/bluebellfold/relay/upstreams/tests/test_carriage.py
@@ -0,0 +1,202 @@
+"""Test where an agent sends the packets of its upstream's flows."""
+
+from bluebellfold.relay.agents import (
+    Carry,
+    Declined,
+    Denied,
+    Held,
+    MayHold,
+    NotHeld,
+    Seek,
+)
+from bluebellfold.relay.balancers import tag_of
+from bluebellfold.relay.tests.scene import (
+    only,
+)
+from bluebellfold.relay.upstreams.tests.scene import (
+    ANSWER,
+    ANSWER_SEQUENCE,
+    BALANCER,
+    DATA,
+    HELLO,
+    OTHER,
+    SOUGHT,
+    agent_with_balancer,
+    agent_with_flow,
+    certain,
+    offer,
+)
+from bluebellfold.standins.packets import (
+    ACKNOWLEDGE,
+    OPEN,
+    RESET,
+    client_packet,
+    opening_packet,
+    returned_packet,
+    upstream_packet,
+)
+
+
+def test_opening_packet_that_the_upstream_gives_back_is_declined():
+    agent = agent_with_balancer()
+    packet = opening_packet()
+    offer(agent, packet)
+    agent.send(returned_packet(packet, tag=tag_of(BALANCER)))
+    declined = only(agent.outlet.take(Declined))
+    assert declined.packet.flow == packet.flow
+
+
+def test_flow_that_the_restarted_upstream_lost_is_reset():
+    agent = agent_with_flow()
+    agent.send(upstream_packet(flags=ACKNOWLEDGE))
+    agent.send(returned_packet(DATA, tag=tag_of(BALANCER)))
+    assert len(agent.outlet.resets) == 1
+    agent.hear(BALANCER, Carry(packet=DATA))
+    assert len(agent.outlet.resets) == 1
+
+
+def test_flow_is_not_reset_when_the_client_chose_another_upstream():
+    # Two upstreams answered two copies of the opening packet.
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.send(ANSWER)
+    chosen_elsewhere = client_packet(
+        flags=ACKNOWLEDGE, acknowledged=900_000_000, payload=b'GET /'
+    )
+    agent.hear(BALANCER, Carry(packet=chosen_elsewhere))
+    assert agent.outlet.take(NotHeld)
+    assert len(agent.outlet.delivered) == 1
+    assert not agent.outlet.resets
+
+
+def test_flow_that_the_upstream_never_confirmed_is_denied_and_not_reset():
+    # The client may have chosen another upstream, which serves the flow.
+    agent = agent_with_flow()
+    agent.send(returned_packet(DATA, tag=tag_of(BALANCER)))
+    assert agent.outlet.take(NotHeld)
+    assert not agent.outlet.resets
+
+
+def test_client_chose_the_upstream_only_by_its_exact_sequence():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.send(ANSWER)
+    close = client_packet(flags=ACKNOWLEDGE, acknowledged=ANSWER_SEQUENCE + 500)
+    agent.hear(BALANCER, Carry(packet=close))
+    assert agent.outlet.take(NotHeld)
+
+
+def test_reset_by_the_upstream_does_not_make_it_hold_the_flow():
+    # An upstream that gives up a half-open flow resets it; the client may
+    # be served by another upstream all the while.
+    agent = agent_with_balancer()
+    agent.send(upstream_packet(flags=RESET))
+    agent.hear(OTHER, HELLO)
+    agent.hear(OTHER, Carry(packet=DATA))
+    agent.send(returned_packet(DATA, tag=tag_of(OTHER)))
+    assert agent.outlet.take(NotHeld)
+    assert not agent.outlet.resets
+
+
+def test_port_used_again_is_a_new_flow_at_another_upstream():
+    # A client reused a port; another balancer still had the earlier flow.
+    agent = agent_with_flow()
+    agent.send(upstream_packet(flags=ACKNOWLEDGE, sequence=5001, payload=b'x'))
+    later = client_packet(
+        flags=ACKNOWLEDGE, acknowledged=800_000_000, payload=b'GET /'
+    )
+    delivered = len(agent.outlet.delivered)
+    agent.hear(BALANCER, Carry(packet=later))
+    assert agent.outlet.take(NotHeld)
+    assert len(agent.outlet.delivered) == delivered
+
+
+def test_port_used_again_is_a_new_flow_at_the_same_upstream():
+    agent = agent_with_flow()
+    agent.send(upstream_packet(flags=ACKNOWLEDGE, sequence=5001, payload=b'x'))
+    offer(agent, client_packet(flags=OPEN, sequence=77))
+    agent.send(upstream_packet(flags=OPEN | ACKNOWLEDGE, sequence=9000))
+    later = client_packet(flags=ACKNOWLEDGE, acknowledged=9001, payload=b'a')
+    agent.hear(BALANCER, Carry(packet=later))
+    assert agent.outlet.delivered[-1] == later
+    assert not agent.outlet.take(NotHeld)
+
+
+def test_packets_within_what_the_upstream_sent_belong_to_the_flow():
+    agent = agent_with_flow()
+    agent.send(
+        upstream_packet(flags=ACKNOWLEDGE, sequence=5001, payload=b'x' * 900)
+    )
+    for acknowledged in (5001, 5400, 5901):
+        packet = client_packet(flags=ACKNOWLEDGE, acknowledged=acknowledged)
+        agent.hear(BALANCER, Carry(packet=packet))
+        assert agent.outlet.delivered[-1] == packet
+
+
+def test_reset_of_a_flow_that_is_only_sought_does_not_reach_the_client():
+    # The upstream of a new machine resets what it doesn't know, while
+    # another upstream serves the flow.
+    agent = agent_with_balancer()
+    agent.hear(BALANCER, Carry(packet=DATA))
+    agent.send(upstream_packet(flags=RESET))
+    assert not agent.outlet.to_clients
+    assert agent.outlet.take(NotHeld) == [NotHeld(packet=DATA)]
+
+
+def test_reset_of_a_flow_that_never_opened_here_does_not_reach_the_client():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.send(ANSWER)
+    agent.send(upstream_packet(flags=RESET))
+    assert agent.outlet.to_clients == [ANSWER]
+
+
+def test_reset_of_an_open_flow_reaches_the_client():
+    agent = agent_with_flow()
+    reset = upstream_packet(flags=RESET)
+    agent.send(reset)
+    assert agent.outlet.to_clients[-1] == reset
+
+
+def test_sought_flow_is_claimed_by_the_agent_that_holds_it():
+    agent = agent_with_flow()
+    agent.hear(OTHER, HELLO)
+    agent.hear(OTHER, SOUGHT)
+    assert agent.outlet.take(Held) == [Held(flow=DATA.flow)]
+
+
+def test_sought_flow_is_denied_where_its_client_chose_another_upstream():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.send(ANSWER)
+    agent.hear(BALANCER, Seek(flow=DATA.flow, acknowledged=77))
+    assert agent.outlet.take(Denied) == [Denied(flow=DATA.flow)]
+
+
+def test_sought_flow_is_denied_by_an_agent_that_has_watched_long_enough():
+    agent = certain(agent_with_balancer())
+    agent.hear(BALANCER, SOUGHT)
+    assert agent.outlet.take(Denied) == [Denied(flow=DATA.flow)]
+    agent.hear(BALANCER, Carry(packet=DATA))
+    assert agent.outlet.take(NotHeld) == [NotHeld(packet=DATA)]
+    assert not agent.outlet.delivered
+
+
+def test_restarted_agent_asks_its_upstream_and_claims_what_it_answers():
+    agent = agent_with_balancer()
+    agent.hear(BALANCER, SOUGHT)
+    assert agent.outlet.take(MayHold) == [MayHold(flow=DATA.flow)]
+    assert not agent.outlet.delivered
+    agent.hear(BALANCER, Carry(packet=DATA))
+    assert agent.outlet.delivered == [DATA]
+    agent.send(upstream_packet(flags=ACKNOWLEDGE, payload=b'HTTP/1.1 200 OK'))
+    assert agent.outlet.take(Held) == [Held(flow=DATA.flow)]
+    assert len(agent.outlet.to_clients) == 1
+
+
+def test_restarted_agent_denies_what_its_upstream_gives_back():
+    agent = agent_with_balancer()
+    agent.hear(BALANCER, Carry(packet=DATA))
+    agent.send(returned_packet(DATA, tag=tag_of(BALANCER)))
+    assert agent.outlet.take(NotHeld)
+    assert not agent.outlet.resets
--- a/bluebellfold/relay/upstreams/tests/test_performance.py
+++ b/bluebellfold/relay/upstreams/tests/test_performance.py
@@ -5,7 +5,7 @@
 from bluebellfold.relay.agents import Carry
 from bluebellfold.relay.tests.scene import Agent, hello_of
 from bluebellfold.relay.upstreams.performance import Performance
-from bluebellfold.relay.upstreams.tests.test_relay import (
+from bluebellfold.relay.upstreams.tests.scene import (
     ANSWER_SEQUENCE,
     BALANCER,
     DATA,
