--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,11 @@
 
 PROTOS = bluebellfold/agents/envelope.proto bluebellfold/balancers/control.proto
 
-.PHONY: environment demo test benchmark generate capacity
+# 0 draws a fresh seed.
+SEED ?= 0
+COUNT ?= 1
+
+.PHONY: environment demo test soak benchmark generate capacity
 
 environment: $(STAMP)
 
@@ -20,6 +24,9 @@
 test: environment
 	.venv/bin/python -m pytest
 
+soak: environment
+	.venv/bin/python -m bluebellfold.soak --first=$(SEED) --count=$(COUNT)
+
 benchmark: environment
 	.venv/bin/python -m benchmarks.forwarding
 
