--- a/bluebellfold/platform/__init__.py
+++ b/bluebellfold/platform/__init__.py
@@ -13,12 +13,10 @@
     decode_call,
 )
 from bluebellfold.platform.objects import (
-    Changes,
     HISTORY_GONE,
     MISSING_OBJECT,
     ObjectStoreClient,
     REVISION_CONFLICT,
-    StoredObject,
     StoreError,
 )
 from bluebellfold.platform.packets import (
@@ -31,6 +29,7 @@
     find_status,
     tag_packet,
 )
+from bluebellfold.platform.stored import Changes, StoredObject
 from bluebellfold.platform.routes import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
--- a/bluebellfold/platform/objects.py
+++ b/bluebellfold/platform/objects.py
@@ -10,11 +10,10 @@
     PlatformAnswerError,
     PlatformError,
     PlatformUnavailableError,
-    Record,
     Sentinel,
-    read_only,
 )
 from bluebellfold.core.calls import Answer, Call, Transport
+from bluebellfold.platform.stored import Change, Changes, StoredObject
 
 OBJECTS_PATH = '/bluebellfold/objects'
 # The store answers in 4 ms; a call that took this long has lost its answer.
@@ -38,47 +37,6 @@
 )
 
 
-class StoredObject(Record):
-    """Carry one object; ``spec`` is whatever JSON its writer put there."""
-
-    __slots__ = ('_name', '_revision', '_spec')
-
-    name: str = read_only('_name')
-    revision: int = read_only('_revision')
-    spec: Any = read_only('_spec')
-
-    def __init__(self, *, name: str, revision: int, spec: Any) -> None:
-        self._name = name
-        self._revision = revision
-        self._spec = spec
-
-
-class Change(Record):
-    """Tell that an object was written, or deleted."""
-
-    __slots__ = ('_deleted', '_stored')
-
-    deleted: bool = read_only('_deleted')
-    stored: StoredObject = read_only('_stored')
-
-    def __init__(self, *, stored: StoredObject, deleted: bool) -> None:
-        self._stored = stored
-        self._deleted = deleted
-
-
-class Changes(Record):
-    """List changes in their order; ``revision`` is where to go on."""
-
-    __slots__ = ('_changes', '_revision')
-
-    changes: tuple[Change, ...] = read_only('_changes')
-    revision: int = read_only('_revision')
-
-    def __init__(self, *, changes: tuple[Change, ...], revision: int) -> None:
-        self._changes = changes
-        self._revision = revision
-
-
 class ObjectStoreClient:
     """Call the store over one kept connection, one call at a time.
 
--- a/bluebellfold/relay/callers/openings.py
+++ b/bluebellfold/relay/callers/openings.py
@@ -40,8 +40,8 @@
 # Where each upstream has a slot, one request more than believed is no reason
 # to go round.
 SLACK_REQUESTS = 1
-# An agent that left an offer unanswered is met again by its next report; it
-# is offered no flow until another agent would have restarted.
+# An agent that left an offer unanswered is offered nothing for about as long
+# as a restart takes.
 SILENT_PAUSE_SECONDS = 0.3
 # The second copy of an opening packet means that 0.6 s brought no answer.
 LAST_ATTEMPT = 2
--- a/bluebellfold/relay/upstreams/carriage.py
+++ b/bluebellfold/relay/upstreams/carriage.py
@@ -14,11 +14,11 @@
     Seek,
 )
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.flows import (
     ANSWERED,
     OFFERED,
     OPEN,
-    FlowTable,
     UpstreamFlow,
 )
 from bluebellfold.relay.upstreams.health import UpstreamHealth
--- a/bluebellfold/relay/upstreams/intake.py
+++ b/bluebellfold/relay/upstreams/intake.py
@@ -21,7 +21,8 @@
     room_for,
 )
 from bluebellfold.relay.collectors import Journal
-from bluebellfold.relay.upstreams.flows import OFFERED, FlowTable, UpstreamFlow
+from bluebellfold.relay.upstreams.flow_table import FlowTable
+from bluebellfold.relay.upstreams.flows import OFFERED, UpstreamFlow
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.outlet import Outlet
 from bluebellfold.relay.upstreams.standing import Standing
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -11,7 +11,7 @@
 from bluebellfold.relay.agents import Address, Carry, Hello, Offer, Seek
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.carriage import Carriage
-from bluebellfold.relay.upstreams.flows import FlowTable
+from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.health import (
     OLDER_ANNOUNCEMENT,
     UpstreamHealth,
--- a/bluebellfold/relay/upstreams/standing.py
+++ b/bluebellfold/relay/upstreams/standing.py
@@ -15,7 +15,7 @@
 )
 from bluebellfold.relay.balancers import Subscriptions
 from bluebellfold.relay.collectors import Journal
-from bluebellfold.relay.upstreams.flows import FlowTable
+from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.outlet import Outlet
 from bluebellfold.relay.upstreams.performance import Performance
