--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -97,6 +97,8 @@
         self.agents: list[Child] = []
         self.upstreams: list[StandinUpstream] = []
         self._folder = folder
+        # Also those that never became ready.
+        self._started: list[Child] = []
         self._stack = AsyncExitStack()
         self._turn = itertools.count()
         self._clients = itertools.count(1)
@@ -207,10 +209,9 @@
         return (await self._call(host, METRICS_PORT, call)).body.decode()
 
     async def _end_children(self) -> None:
-        children = (*self.balancers, *self.agents)
-        for running in children:
+        for running in self._started:
             running.kill()
-        await asyncio.gather(*(child.wait() for child in children))
+        await asyncio.gather(*(child.wait() for child in self._started))
 
     async def _start_all(self, balancers: int, agents: int) -> None:
         await self.platform.start()
@@ -267,6 +268,7 @@
             encoding='utf-8',
         )
         child = Child(name=name, host=host, ready=STARTED)
+        self._started.append(child)
         command = (
             sys.executable,
             '-m',
