--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -18,6 +18,11 @@
 # more: 16 packets, each sent again up to eight times.
 _LEARNED_WINDOW = 1_048_576
 
+# What the client may have had from the upstream before the agent met the
+# flow, when that met it by an older packet that was sent again: 16 packets of
+# 1,200 bytes.
+_ACKNOWLEDGED_AHEAD = 19_200
+
 _SEQUENCES = 0x100000000
 _HALF = 0x80000000
 
@@ -148,6 +153,8 @@
         if first is None:
             return True
         last = first if self._sent_to_client is None else self._sent_to_client
+        if self._answer_sequence is None:
+            last += _ACKNOWLEDGED_AHEAD
         beyond = (acknowledged - first) % _SEQUENCES
         # The end of a flow takes one number more.
         return beyond <= (last - first) % _SEQUENCES + self._finished
--- a/bluebellfold/relay/upstreams/tests/test_carriage.py
+++ b/bluebellfold/relay/upstreams/tests/test_carriage.py
@@ -194,6 +194,22 @@
     assert len(agent.outlet.to_clients) == 1
 
 
+def test_restarted_agent_holds_a_flow_whose_client_is_ahead_of_what_it_saw():
+    # The upstream sends again what the client already has: its
+    # acknowledgement was lost with the agent.
+    agent = agent_with_balancer()
+    agent.send(
+        upstream_packet(flags=ACKNOWLEDGE, sequence=6000, payload=b'x' * 100)
+    )
+    ahead = client_packet(
+        flags=ACKNOWLEDGE, acknowledged=6000 + 100 + 2400, payload=b'GET /'
+    )
+    agent.hear(BALANCER, Seek(flow=ahead.flow, acknowledged=ahead.acknowledged))
+    assert agent.outlet.take(Held) == [Held(flow=ahead.flow)]
+    agent.hear(BALANCER, Carry(packet=ahead))
+    assert agent.outlet.delivered == [ahead]
+
+
 def test_restarted_agent_denies_what_its_upstream_gives_back():
     agent = agent_with_balancer()
     agent.hear(BALANCER, Carry(packet=DATA))
