End a cancelled task though its call ended in the same turn

In the product the same would keep a stopped process from ending. Found by printing the tasks of test_an_older_read_changes_nothing beside five copies of itself: 55 of some 120 runs hung, each in ObjectWatch.run with cancelling() == 2.

--- a/bluebellfold/callers/load/client.py
+++ b/bluebellfold/callers/load/client.py
@@ -95,7 +95,8 @@
         """Complete the handshake, or raise TimeoutError."""
         self._quic.connect(PEER, now=time.monotonic())
         self.transmit()
-        await asyncio.wait_for(self._connected.wait(), seconds)
+        async with asyncio.timeout(seconds):
+            await self._connected.wait()
 
     def ask(self, head: Head, body: bytes | None, *, last: bool) -> int:
         """Send the start of a request, and return its stream id."""
--- a/bluebellfold/callers/load/worker.py
+++ b/bluebellfold/callers/load/worker.py
@@ -91,10 +91,8 @@
         )
         sent_at = self._now()
         try:
-            head = await asyncio.wait_for(
-                self._ask(self._pools[kind.name].turn(), asked),
-                kind.timeout_seconds,
-            )
+            async with asyncio.timeout(kind.timeout_seconds):
+                head = await self._ask(self._pools[kind.name].turn(), asked)
         except (FlowEndedError, TimeoutError) as error:
             self._tell_end(arrival, sent_at, BROKEN, type(error).__name__, '')
             return
--- a/bluebellfold/core/actor.py
+++ b/bluebellfold/core/actor.py
@@ -44,7 +44,10 @@
 
     async def wait(self, *, timeout: float = ASK_TIMEOUT_SECONDS) -> Any:
         """Return the answer, or raise TimeoutError after the timeout."""
-        return await asyncio.wait_for(self._future, timeout)
+        # Not wait_for: on Python 3.11 it swallows a cancel that comes in the
+        # turn the answer does, and the cancelled task goes on.
+        async with asyncio.timeout(timeout):
+            return await self._future
 
 
 class Actor:
--- a/bluebellfold/core/calls.py
+++ b/bluebellfold/core/calls.py
@@ -57,10 +57,8 @@
     async def call(self, call: Call, *, timeout_seconds: float) -> Answer:
         """Return the answer, or raise PlatformUnavailableError."""
         try:
-            answer = await asyncio.wait_for(
-                self._exchange(call),
-                timeout_seconds,
-            )
+            async with asyncio.timeout(timeout_seconds):
+                answer = await self._exchange(call)
         except (OSError, h11.ProtocolError) as error:
             reason = str(error) or type(error).__name__
             raise self._unavailable(reason) from error
--- a/bluebellfold/core/http.py
+++ b/bluebellfold/core/http.py
@@ -60,10 +60,10 @@
 
     async def connect(self) -> None:
         """Connect, or raise OSError or TimeoutError."""
-        streams = await asyncio.wait_for(
-            asyncio.open_connection(self._endpoint.host, self._endpoint.port),
-            CONNECT_TIMEOUT_SECONDS,
-        )
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            streams = await asyncio.open_connection(
+                self._endpoint.host, self._endpoint.port
+            )
         self._reader = streams[0]
         self._writer = streams[1]
 
--- a/bluebellfold/core/http_server.py
+++ b/bluebellfold/core/http_server.py
@@ -134,7 +134,8 @@
 ) -> object:
     event = parser.next_event()
     while event is h11.NEED_DATA:
-        received = await asyncio.wait_for(reader.read(READ_BYTES), IDLE_SECONDS)
+        async with asyncio.timeout(IDLE_SECONDS):
+            received = await reader.read(READ_BYTES)
         parser.receive_data(received)
         event = parser.next_event()
     return event
--- a/bluebellfold/soak/site.py
+++ b/bluebellfold/soak/site.py
@@ -104,7 +104,8 @@
         """Ask a process to stop, and note how it ends."""
         child.send(signal.SIGTERM)
         try:
-            code = await asyncio.wait_for(child.wait(), GRACE_SECONDS)
+            async with asyncio.timeout(GRACE_SECONDS):
+                code = await child.wait()
         except TimeoutError:
             code = None
             child.kill()
--- a/bluebellfold/standins/child.py
+++ b/bluebellfold/standins/child.py
@@ -59,7 +59,8 @@
             stderr=asyncio.subprocess.STDOUT,
         )
         self._reading = asyncio.create_task(self._read())
-        await asyncio.wait_for(self._ready.wait(), READY_SECONDS)
+        async with asyncio.timeout(READY_SECONDS):
+            await self._ready.wait()
         if self.exit_code is not None:
             raise ChildFailedError(f'{self._name}: {self.log}')
 
--- a/bluebellfold/standins/relay_ends.py
+++ b/bluebellfold/standins/relay_ends.py
@@ -243,7 +243,8 @@
 
     async def _wait(self, seconds: float) -> Packet | None:
         try:
-            packet = await asyncio.wait_for(self._came.get(), seconds)
+            async with asyncio.timeout(seconds):
+                packet = await self._came.get()
         except TimeoutError:
             return None
         if packet.resets:
--- a/bluebellfold/standins/stage.py
+++ b/bluebellfold/standins/stage.py
@@ -134,10 +134,8 @@
         """
         flow = self.flow(kind, *balancers, seed=seed)
         try:
-            return await asyncio.wait_for(
-                _open_and_send(flow, path or kind, request_id),
-                PATIENCE_SECONDS,
-            )
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                return await _open_and_send(flow, path or kind, request_id)
         finally:
             flow.close()
 
