--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -36,6 +36,7 @@
         self._front = CallerFront(
             callers=settings.callers,
             agents=settings.agents,
+            reports=settings.reports,
             zone=settings.process.zone,
             clock=clock,
             journal=self._journal,
--- a/bluebellfold/relay/operators/settings.py
+++ b/bluebellfold/relay/operators/settings.py
@@ -61,18 +61,25 @@
 class BalancerSettings(Record):
     """State where a balancer meets callers and agents."""
 
-    __slots__ = ('_agents', '_callers', '_process')
+    __slots__ = ('_agents', '_callers', '_process', '_reports')
 
     agents: Endpoint = read_only('_agents')
     callers: Endpoint = read_only('_callers')
     process: RelayProcess = read_only('_process')
+    reports: Endpoint = read_only('_reports')
 
     def __init__(
-        self, *, process: RelayProcess, callers: Endpoint, agents: Endpoint
+        self,
+        *,
+        process: RelayProcess,
+        callers: Endpoint,
+        agents: Endpoint,
+        reports: Endpoint,
     ) -> None:
         self._process = process
         self._callers = callers
         self._agents = agents
+        self._reports = reports
 
 
 class AgentSettings(Record):
@@ -124,6 +131,7 @@
         process=_process_of(sections, own, path),
         callers=own['callers'],
         agents=own['agents'],
+        reports=own['reports'],
     )
 
 
--- a/bluebellfold/relay/upstreams/standing.py
+++ b/bluebellfold/relay/upstreams/standing.py
@@ -136,12 +136,7 @@
 
     def greet(self, message: Hello, address: Address, now: float) -> None:
         """Take a balancer's hello."""
-        is_new = self._subscriptions.renew(
-            address,
-            idle_seconds=message.idle_seconds,
-            offers_sent=message.offers_sent,
-            now=now,
-        )
+        is_new = self._subscriptions.renew(address, message, now)
         # A balancer whose watch has missed a change learns of it here.
         known, told = self._versions, message.versions
         self._versions = Versions(
@@ -150,7 +145,7 @@
         )
         if is_new:
             self._journal.note('BBF0726', balancer=address[0], subscribed=True)
-            self.report(now)
+            self.report(now, urgent=True)
             # Flows older than the idle time are gone, so certainty returns
             # once the agent has watched for that long.
             longest = message.idle_seconds + IDLE_MARGIN_SECONDS
@@ -179,16 +174,16 @@
             state_before=STATE_NAMES[before],
             **fields,
         )
-        self.report(now)
+        self.report(now, urgent=True)
 
-    def report(self, now: float) -> None:
+    def report(self, now: float, *, urgent: bool = False) -> None:
         """Tell all balancers the load."""
         self._reported_at = now
         self._changed = False
         self._sequence += 1
         busy = self._flows.busy(now)
-        for address, offers_seen in self._subscriptions.offers_by_address():
-            self._tell(address, offers_seen, busy, now)
+        for receiver in self._subscriptions.receivers(urgent=urgent):
+            self._tell(*receiver, busy, now)
 
     def report_to(self, address: Address, now: float) -> None:
         """Tell one balancer, which has just offered a flow."""
