Keep each packet that an agent gives back while its owner is sought

Cause: of two packets that a restarted agent gave back, only the first was kept; the second waited for its client's timer of 0.2 s. Found by reading; the test failed first.

--- a/bluebellfold/relay/callers/owners.py
+++ b/bluebellfold/relay/callers/owners.py
@@ -65,6 +65,8 @@
         search = self._searches.find(packet.flow)
         if search is None:
             search = self._ask_all(packet, now)
+        elif packet not in search.kept:
+            search.keep(packet)
         search.deny(address)
         if certain:
             self._end_if_all_denied(packet.flow, search, now)
--- a/bluebellfold/relay/callers/tests/test_owners.py
+++ b/bluebellfold/relay/callers/tests/test_owners.py
@@ -110,6 +110,33 @@
     assert balancer.outlet.resets == [DATA]
 
 
+def test_all_packets_that_were_given_back_reach_the_owner():
+    # The agent that was believed to be the owner restarted and gives back
+    # what it got; a packet that is lost here waits for its client's timer.
+    balancer = balancer_with(report_of(), report_of(busy=1))
+    balancer.receive(opening_packet())
+    more = client_packet(flags=ACKNOWLEDGE, sequence=4, payload=b'even more')
+    balancer.receive(DATA)
+    balancer.receive(more)
+    balancer.outlet.take(Carry)
+    balancer.hear(FIRST, NotHeld(packet=DATA))
+    balancer.hear(FIRST, NotHeld(packet=more))
+    balancer.hear(SECOND, Held(flow=DATA.flow))
+    carried = [message.packet for _, message in balancer.outlet.take(Carry)]
+    assert carried == [DATA, more]
+
+
+def test_packet_that_was_tried_in_vain_is_kept_once():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.receive(DATA)
+    balancer.hear(FIRST, MayHold(flow=DATA.flow))
+    balancer.wait(0.1)
+    balancer.outlet.take(Carry)
+    balancer.hear(FIRST, NotHeld(packet=DATA))
+    balancer.hear(SECOND, Held(flow=DATA.flow))
+    assert balancer.outlet.take(Carry) == [(SECOND, Carry(packet=DATA))]
+
+
 def test_flow_is_not_reset_while_an_agent_restarts():
     # An agent that restarts beside a living upstream is silent for less than
     # three seconds; its flows are open all the while.
