--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -36,7 +36,6 @@
         self._front = CallerFront(
             callers=settings.callers,
             agents=settings.agents,
-            reports=settings.reports,
             zone=settings.process.zone,
             clock=clock,
             journal=self._journal,
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -21,9 +21,8 @@
     Versions,
 )
 
-# Idle seconds, offers sent, version, revision of the list of agents, port of
-# the reports.
-_HELLO = struct.Struct('>fIqqH')
+# Idle seconds, offers sent, version, revision of the list of agents.
+_HELLO = struct.Struct('>fIqq')
 # Start, sequence, offers seen, state, warming, slots, busy, flows, version,
 # revision of the list of agents, work on a request, share of failures.
 _LOAD = struct.Struct('>QIIBBHHIqqff')
@@ -169,7 +168,6 @@
         sent,
         message.versions.configuration,
         message.versions.agents,
-        message.reports_port,
     )
     return bytes((_HELLO_KIND,)) + numbers
 
@@ -181,7 +179,6 @@
         idle_seconds=numbers[0],
         offers_sent=numbers[1],
         versions=Versions(configuration=numbers[2], agents=numbers[3]),
-        reports_port=numbers[4],
     )
 
 
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -226,28 +226,20 @@
     """Ask an agent to report its load for the next seconds.
 
     ``offers_sent`` lets the agent count on after offers that were lost.
-    ``reports_port`` is where the balancer takes reports that need no haste.
     ``versions`` are those in force at the balancer.
     """
 
-    __slots__ = ('_idle_seconds', '_offers_sent', '_reports_port', '_versions')
+    __slots__ = ('_idle_seconds', '_offers_sent', '_versions')
 
     idle_seconds: float = read_only('_idle_seconds')
     offers_sent: int = read_only('_offers_sent')
-    reports_port: int = read_only('_reports_port')
     versions: Versions = read_only('_versions')
 
     def __init__(
-        self,
-        *,
-        idle_seconds: float,
-        offers_sent: int,
-        reports_port: int,
-        versions: Versions,
+        self, *, idle_seconds: float, offers_sent: int, versions: Versions
     ) -> None:
         self._idle_seconds = idle_seconds
         self._offers_sent = offers_sent
-        self._reports_port = reports_port
         self._versions = versions
 
 
--- a/bluebellfold/relay/balancers/subscriptions.py
+++ b/bluebellfold/relay/balancers/subscriptions.py
@@ -1,6 +1,6 @@
 """Remember which balancers an agent reports to."""
 
-from bluebellfold.relay.agents import Address, Hello
+from bluebellfold.relay.agents import Address
 
 # A balancer says hello every 0.6 s: three may be lost.
 SUBSCRIPTION_SECONDS = 2.0
@@ -8,15 +8,11 @@
 
 
 class Subscription:
-    """Hold when a balancer last said hello, and the offers it made.
+    """Hold when a balancer last said hello, and the offers it made."""
 
-    ``reports_to`` is where it takes reports that need no haste.
-    """
-
-    __slots__ = ('_heard_at', '_idle_seconds', '_offers_seen', '_reports_to')
+    __slots__ = ('_heard_at', '_idle_seconds', '_offers_seen')
 
-    def __init__(self, *, reports_to: Address) -> None:
-        self._reports_to = reports_to
+    def __init__(self) -> None:
         self._heard_at = float(0)
         self._idle_seconds = float(0)
         self._offers_seen = 0
@@ -26,11 +22,6 @@
         """Return when the balancer last said hello."""
         return self._heard_at
 
-    @property
-    def reports_to(self) -> Address:
-        """Return where the balancer takes reports."""
-        return self._reports_to
-
     @property
     def idle_seconds(self) -> float:
         """Return after how long idle flows may be forgotten."""
@@ -74,18 +65,21 @@
             default=0,
         )
 
-    def renew(self, address: Address, hello: Hello, now: float) -> bool:
+    def renew(
+        self,
+        address: Address,
+        *,
+        idle_seconds: float,
+        offers_sent: int,
+        now: float,
+    ) -> bool:
         """Take a hello, and tell whether the balancer is new."""
         known = self._by_address.get(address)
         is_new = known is None
         if known is None:
-            known = Subscription(reports_to=(address[0], hello.reports_port))
+            known = Subscription()
             self._by_address[address] = known
-        known.renew(
-            idle_seconds=hello.idle_seconds,
-            offers_sent=hello.offers_sent,
-            now=now,
-        )
+        known.renew(idle_seconds=idle_seconds, offers_sent=offers_sent, now=now)
         return is_new
 
     def count_offer(self, address: Address) -> None:
@@ -106,14 +100,10 @@
                 return address
         return None
 
-    def receivers(self, *, urgent: bool) -> list[tuple[Address, int]]:
-        """Return where to send reports, each with the offers made there.
-
-        What is ``urgent`` goes to the address of the hello, which its
-        balancer reads at once.
-        """
+    def offers_by_address(self) -> list[tuple[Address, int]]:
+        """Return each balancer with the number of its offers."""
         return [
-            (address if urgent else known.reports_to, known.offers_seen)
+            (address, known.offers_seen)
             for address, known in self._by_address.items()
         ]
 
--- a/bluebellfold/relay/callers/front.py
+++ b/bluebellfold/relay/callers/front.py
@@ -29,10 +29,6 @@
 
 # Bounds how late an unanswered offer and an agent that starts are noticed.
 TICK_SECONDS = 0.05
-# Reports come 300 times a second and more on both users' sites; read in
-# batches, they don't wake the process one by one. What an agent is asked for
-# comes to the other socket, which is read at once.
-REPORTS_SECONDS = 0.02
 # The fabric asks twice a second and takes two misses for an end; its packets
 # keep coming until then.
 LEAVE_SECONDS = 1.7
@@ -50,7 +46,6 @@
         *,
         callers: Endpoint,
         agents: Endpoint,
-        reports: Endpoint,
         zone: str,
         clock: Clock,
         journal: Journal,
@@ -58,7 +53,6 @@
         super().__init__(name='callers')
         self._callers = callers
         self._agents = agents
-        self._reports = reports
         self._clock = clock
         self._journal = journal
         self._leaving = False
@@ -66,13 +60,10 @@
         self._agent_list: Actor | None = None
         self._refresh_due = clock.now()
         self._was_ready = False
-        self._reading: asyncio.TimerHandle | None = None
         self._caller_socket: DatagramSocket | None = None
         self._agent_socket: DatagramSocket | None = None
-        self._report_socket: DatagramSocket | None = None
         self._relay = CallerRelay(
             zone=zone,
-            reports_port=reports.port,
             outlet=self,
             journal=journal,
             draw=random.random,
@@ -87,28 +78,20 @@
         }
 
     async def open(self) -> None:
-        """Bind the sockets, or raise OSError."""
+        """Bind both sockets, or raise OSError."""
         self._caller_socket = DatagramSocket(endpoint=self._callers)
         self._agent_socket = DatagramSocket(endpoint=self._agents)
-        self._report_socket = DatagramSocket(endpoint=self._reports)
         loop = asyncio.get_running_loop()
         loop.add_reader(self._caller_socket, self._read_callers)
         loop.add_reader(self._agent_socket, self._read_agents)
-        self._read_reports()
         self._tick()
 
     async def close(self) -> None:
         """Give the sockets back."""
         await super().close()
         loop = asyncio.get_running_loop()
-        self._reading.cancel()
-        loop.remove_reader(self._caller_socket)
-        loop.remove_reader(self._agent_socket)
-        for owned in (
-            self._caller_socket,
-            self._agent_socket,
-            self._report_socket,
-        ):
+        for owned in (self._caller_socket, self._agent_socket):
+            loop.remove_reader(owned)
             owned.close()
 
     def follow(self, *, configuration: Actor, agents: Actor) -> None:
@@ -178,16 +161,8 @@
                 self._journal.count(packet.name)
 
     def _read_agents(self) -> None:
-        self._take_from(self._agent_socket)
-
-    def _read_reports(self) -> None:
-        self._take_from(self._report_socket)
-        loop = asyncio.get_running_loop()
-        self._reading = loop.call_later(REPORTS_SECONDS, self._read_reports)
-
-    def _take_from(self, source: DatagramSocket) -> None:
         now = self._clock.now()
-        for datagram, address in source.receive():
+        for datagram, address in self._agent_socket.receive():
             message = decode_message(datagram, read_packet=decode_client_packet)
             if message:
                 self._relay.take_message(message, address, now)
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -50,7 +50,6 @@
         '_openings',
         '_outlet',
         '_owners',
-        '_reports_port',
         '_roster',
         '_routes',
         '_ran_at',
@@ -61,12 +60,10 @@
         self,
         *,
         zone: str,
-        reports_port: int,
         outlet: Outlet,
         journal: Journal,
         draw: Callable[[], float],
     ) -> None:
-        self._reports_port = reports_port
         self._outlet = outlet
         self._journal = journal
         self._routes = RoutesInForce()
@@ -270,7 +267,6 @@
             Hello(
                 idle_seconds=self._routes.table.idle_seconds,
                 offers_sent=view.offers_sent,
-                reports_port=self._reports_port,
                 versions=Versions(
                     configuration=self._routes.version,
                     agents=self._agents_revision,
--- a/bluebellfold/relay/operators/settings.py
+++ b/bluebellfold/relay/operators/settings.py
@@ -61,25 +61,18 @@
 class BalancerSettings(Record):
     """State where a balancer meets callers and agents."""
 
-    __slots__ = ('_agents', '_callers', '_process', '_reports')
+    __slots__ = ('_agents', '_callers', '_process')
 
     agents: Endpoint = read_only('_agents')
     callers: Endpoint = read_only('_callers')
     process: RelayProcess = read_only('_process')
-    reports: Endpoint = read_only('_reports')
 
     def __init__(
-        self,
-        *,
-        process: RelayProcess,
-        callers: Endpoint,
-        agents: Endpoint,
-        reports: Endpoint,
+        self, *, process: RelayProcess, callers: Endpoint, agents: Endpoint
     ) -> None:
         self._process = process
         self._callers = callers
         self._agents = agents
-        self._reports = reports
 
 
 class AgentSettings(Record):
@@ -131,7 +124,6 @@
         process=_process_of(sections, own, path),
         callers=own['callers'],
         agents=own['agents'],
-        reports=own['reports'],
     )
 
 
