Find the usual time of a request without the module statistics

Of 119 ms that an agent's imports take (-X importtime, bytecode cached), 4.2 were statistics with fractions and decimals, for one lower median.

--- a/bluebellfold/relay/agents/placing.py
+++ b/bluebellfold/relay/agents/placing.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable, Collection, Iterable
-from statistics import median_low
 
 from bluebellfold.core import Record, Registry, Sentinel, read_only
 from bluebellfold.relay.agents.roster import Address, AgentView
@@ -190,4 +189,6 @@
 def _find_usual(views: Iterable[AgentView]) -> float:
     served = [view.load.served.work_seconds for view in views]
     known = [seconds for seconds in served if seconds]
-    return median_low(known) if known else 0
+    # The lower median. The module statistics would add 4 of the 119 ms that a
+    # process takes to import: it comes with fractions and decimals.
+    return sorted(known)[(len(known) - 1) // 2] if known else 0
