--- /dev/null
+++ b/bluebellfold/model/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the model."""
--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -35,7 +35,9 @@
 )
 from bluebellfold.relay.agents.placing import (
     ALL_FULL,
+    DEFAULT_RULE,
     NO_AGENT,
+    RULES,
     place,
     room_for,
 )
@@ -60,6 +62,7 @@
     'DECLINE_NAMES',
     'DOWN',
     'DRAINING',
+    'DEFAULT_RULE',
     'Declined',
     'Denied',
     'FlowMessage',
@@ -71,6 +74,7 @@
     'NotHeld',
     'Offer',
     'READY',
+    'RULES',
     'Roster',
     'STATE_NAMES',
     'Seek',
--- a/bluebellfold/relay/agents/roster.py
+++ b/bluebellfold/relay/agents/roster.py
@@ -174,16 +174,14 @@
     def change(self, addresses: Iterable[Address], now: float) -> RosterChange:
         """Take the list of agents that exist."""
         wanted = set(addresses)
-        added = wanted - self._views.keys()
-        removed = self._views.keys() - wanted
+        # In order: what a run draws by chance is the same each time.
+        added = tuple(sorted(wanted - self._views.keys()))
+        removed = tuple(sorted(self._views.keys() - wanted))
         for address in removed:
             self._views.pop(address)
         for address in added:
             self._views[address] = AgentView(address=address, now=now)
-        return RosterChange(
-            added=tuple(sorted(added)),
-            removed=tuple(sorted(removed)),
-        )
+        return RosterChange(added=added, removed=removed)
 
     def of_service(self, service: str) -> list[AgentView]:
         """Return the views of the agents that last served a service."""
--- a/bluebellfold/relay/callers/flows.py
+++ b/bluebellfold/relay/callers/flows.py
@@ -4,6 +4,10 @@
 
 # Bounds memory: about 300 bytes a flow.
 MAX_FLOWS = 200_000
+# What a client may have sent when its first packet after the opening one
+# passes: it has 16 packets of 1,200 bytes in flight, and more may be lost.
+_FIRST_WINDOW = 1_048_576
+_SEQUENCES = 0x100000000
 
 
 class Assignment:
@@ -12,6 +16,7 @@
     __slots__ = (
         '_agent',
         '_declines',
+        '_goes_on',
         '_opened_at',
         '_opening',
         '_tried',
@@ -25,12 +30,18 @@
         self._opened_at = now
         self._opening: int | None = None
         self._declines = 0
+        self._goes_on = False
 
     @property
     def agent(self) -> Address | None:
         """Return the agent, None while none is chosen."""
         return self._agent
 
+    @property
+    def goes_on(self) -> bool:
+        """Tell whether the client has heard from an upstream."""
+        return self._goes_on
+
     @property
     def opened_at(self) -> float:
         """Return when the client sent its first opening packet."""
@@ -74,8 +85,19 @@
             self._opened_at = opened_at
             self._agent = None
             self._declines = 0
+            self._goes_on = False
             self._tried.clear()
 
+    def go_on(self, sequence: int) -> bool:
+        """Take a later packet; tell whether it is of the flow that opens.
+
+        A late packet of an earlier flow of the client's port is not.
+        """
+        if self._opening is not None:
+            ahead = (sequence - self._opening) % _SEQUENCES
+            self._goes_on = self._goes_on or ahead <= _FIRST_WINDOW
+        return self._goes_on
+
     def touch(self, now: float) -> None:
         """Note that a packet passed."""
         self._used_at = now
--- a/bluebellfold/relay/callers/openings.py
+++ b/bluebellfold/relay/callers/openings.py
@@ -62,6 +62,7 @@
         '_outlet',
         '_roster',
         '_routes',
+        '_rule',
         '_waiting',
         '_zone',
     )
@@ -76,8 +77,10 @@
         outlet: Outlet,
         journal: Journal,
         draw: Callable[[], float],
+        rule: str,
     ) -> None:
         self._zone = zone
+        self._rule = rule
         self._roster = roster
         self._routes = routes
         self._flows = flows
@@ -98,6 +101,9 @@
         assignment.touch(now)
         sent_before = COPY_SECONDS[min(packet.attempt, LAST_ATTEMPT)]
         assignment.begin(packet.sequence, now - sent_before)
+        if assignment.goes_on:
+            # The copy was sent before an upstream's answer arrived.
+            return
         agent = assignment.agent
         if agent is not None:
             view = self._roster.find(agent)
@@ -108,9 +114,16 @@
             assignment.give_up(agent)
         self._place(packet, assignment, now)
 
-    def settle(self, flow: bytes) -> None:
-        """Note that the client has heard from an upstream."""
-        self._offers.settle(flow)
+    def settle(self, packet: Packet) -> None:
+        """Note that the client has heard from an upstream.
+
+        Its opening packet may wait here for another one: placed, it would
+        take the flow from its owner, and refused, reset an open flow.
+        """
+        self._offers.settle(packet.flow)
+        assignment = self._flows.find(packet.flow)
+        if assignment is not None and assignment.go_on(packet.sequence):
+            self._waiting.remove(packet.flow)
 
     def take_back(
         self, message: Declined, address: Address, now: float
@@ -119,6 +132,9 @@
         packet = message.packet
         self._offers.settle(packet.flow)
         assignment = self._flows.find_or_add(packet.flow, now)
+        if assignment.goes_on:
+            assignment.take_back(address)
+            return
         if message.reason in {DECLINED_FULL, DECLINED_REJECTED}:
             # The agent may have room a moment later.
             assignment.take_back(address)
@@ -203,6 +219,7 @@
             now=now,
             draw=self._draw,
             avoided=assignment.tried,
+            rule=self._rule,
         )
         if not view:
             if view is NO_AGENT:
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -5,6 +5,7 @@
 
 from bluebellfold.core import Message, Packet, RoutingTable
 from bluebellfold.relay.agents import (
+    DEFAULT_RULE,
     Address,
     AgentView,
     Declined,
@@ -63,6 +64,7 @@
         outlet: Outlet,
         journal: Journal,
         draw: Callable[[], float],
+        rule: str = DEFAULT_RULE,
     ) -> None:
         self._outlet = outlet
         self._journal = journal
@@ -85,6 +87,7 @@
             outlet=outlet,
             journal=journal,
             draw=draw,
+            rule=rule,
         )
         self._hello_due = float(0)
         self._sweep_due = float(0)
@@ -159,7 +162,7 @@
         if packet.opens:
             self._openings.open(packet, now)
             return
-        self._openings.settle(packet.flow)
+        self._openings.settle(packet)
         self._owners.carry(packet, now)
 
     @singledispatchmethod
--- a/bluebellfold/relay/callers/searches.py
+++ b/bluebellfold/relay/callers/searches.py
@@ -73,7 +73,7 @@
         """Return the agents whose upstreams are to be tried, once each."""
         if now - self._asked_at < TRY_SECONDS:
             return ()
-        unsure = tuple(self._unsure)
+        unsure = tuple(sorted(self._unsure))
         self._unsure.clear()
         return unsure
 
--- a/bluebellfold/relay/callers/tests/test_openings.py
+++ b/bluebellfold/relay/callers/tests/test_openings.py
@@ -23,11 +23,15 @@
     table_of,
 )
 from bluebellfold.standins.packets import (
+    ACKNOWLEDGE,
     OPEN,
     client_packet,
     opening_packet,
 )
 
+# What a client sends first on a flow that has opened.
+NEXT = client_packet(flags=ACKNOWLEDGE, sequence=1, payload=b'first')
+
 
 def test_new_flow_goes_to_the_agent_with_the_least_work():
     balancer = balancer_with(report_of(busy=3), report_of(busy=1))
@@ -278,6 +282,52 @@
     assert not balancer.outlet.take(Offer)
 
 
+def test_waiting_flow_whose_client_goes_on_is_neither_placed_nor_refused():
+    # In a burst the answer of an upstream crosses the last copy of the
+    # opening packet: the copy waited, and 1.3 s later the open flow was reset.
+    balancer = balancer_with(report_of(), report_of(busy=6))
+    balancer.receive(opening_packet())
+    balancer.receive(opening_packet(attempt=2))
+    balancer.receive(NEXT)
+    balancer.outlet.told.clear()
+    balancer.hear(SECOND, report_of(sequence=2))
+    assert not balancer.outlet.take(Offer)
+    balancer.wait(2)
+    assert not balancer.outlet.resets
+
+
+def test_late_decline_of_a_flow_whose_client_goes_on_is_no_news():
+    balancer = balancer_with(report_of(), report_of(busy=1))
+    balancer.receive(opening_packet())
+    balancer.receive(opening_packet(attempt=2))
+    balancer.receive(NEXT)
+    balancer.outlet.told.clear()
+    declined = Declined(packet=opening_packet(), reason=DECLINED_FULL)
+    balancer.hear(SECOND, declined)
+    balancer.wait(2)
+    assert not balancer.outlet.take(Offer)
+    assert not balancer.outlet.resets
+
+
+def test_late_copy_of_an_opening_packet_is_not_placed():
+    balancer = balancer_with(report_of(), report_of(busy=1))
+    balancer.receive(opening_packet())
+    balancer.receive(NEXT)
+    balancer.outlet.told.clear()
+    balancer.receive(opening_packet(attempt=2))
+    assert not balancer.outlet.take(Offer)
+
+
+def test_late_packet_of_an_earlier_flow_ends_no_wait():
+    balancer = balancer_with(report_of(busy=6))
+    balancer.receive(opening_packet())
+    earlier = client_packet(flags=ACKNOWLEDGE, sequence=3_000_000_000)
+    balancer.receive(earlier)
+    balancer.outlet.told.clear()
+    balancer.hear(FIRST, report_of(sequence=2))
+    assert balancer.outlet.take(Offer)
+
+
 def test_upstream_that_warms_up_holds_fewer_requests():
     # Three requests a slot would be answered after the target latency.
     balancer = balancer_with(report_of(busy=4, warming=True))
