--- /dev/null
+++ b/bluebellfold/model/settings.py
@@ -0,0 +1,87 @@
+"""Load the settings of replays in the model."""
+
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from bluebellfold.core import Record, SettingsError, read_only
+from bluebellfold.ini import (
+    Complaint,
+    complaints_about_values,
+    raise_first,
+    read_source,
+    read_spec,
+    use_one_of,
+)
+from bluebellfold.model.patterns import PATTERNS
+from bluebellfold.model.world import Shape
+from bluebellfold.relay.agents import RULES
+
+PACKAGE = 'bluebellfold.model'
+SPEC = 'model.spec.ini'
+MILLISECONDS = 1000
+
+
+class ModelSettings(Record):
+    """State which patterns are replayed, with which rules and seeds."""
+
+    __slots__ = ('_patterns', '_rules', '_seconds', '_seeds', '_site')
+
+    patterns: tuple[str, ...] = read_only('_patterns')
+    rules: tuple[str, ...] = read_only('_rules')
+    seconds: float = read_only('_seconds')
+    seeds: range = read_only('_seeds')
+
+    def __init__(
+        self,
+        *,
+        patterns: tuple[str, ...],
+        rules: tuple[str, ...],
+        seconds: float,
+        seeds: range,
+        site: dict[str, Any],
+    ) -> None:
+        self._patterns = patterns
+        self._rules = rules
+        self._seconds = seconds
+        self._seeds = seeds
+        self._site = site
+
+    def shape_with(self, rule: str) -> Shape:
+        """Return the site with a rule that places new flows."""
+        return Shape(rule=rule, **self._site)
+
+
+def load_model(path: str | Path) -> ModelSettings:
+    """Return the settings of replays, or raise SettingsError."""
+    source = read_source(path)
+    spec = read_spec(SPEC, package=PACKAGE)
+    raise_first(
+        complaints_about_values(source.parsed, spec),
+        partial(_only, source.name),
+    )
+    sections = source.parsed.dict()
+    run, site = sections['run'], sections['site']
+    first = run['first_seed']
+    site['work_seconds'] = site.pop('work_milliseconds') / MILLISECONDS
+    return ModelSettings(
+        patterns=_known(run['patterns'] or list(PATTERNS), PATTERNS, path),
+        rules=_known(run['rules'], RULES, path),
+        seconds=run['seconds'],
+        seeds=range(first, first + run['seeds']),
+        site={**site, **sections['links']},
+    )
+
+
+def _known(names: list[str], registry: Any, path: str | Path) -> Any:
+    for name in names:
+        if name not in registry:
+            raise SettingsError(
+                problem=f'{path}: {registry.name}: there is no {name!r}',
+                remedy=use_one_of(tuple(registry)),
+            )
+    return tuple(names)
+
+
+def _only(name: str, _: Complaint) -> str:
+    return name
--- a/bluebellfold/model/tests/test_replay.py
+++ b/bluebellfold/model/tests/test_replay.py
@@ -14,7 +14,7 @@
 MOST = 0.9
 
 
-@pytest.mark.parametrize('pattern', PATTERNS)
+@pytest.mark.parametrize('pattern', list(PATTERNS))
 @pytest.mark.parametrize('seed', [1, 2])
 def test_no_promise_is_broken(pattern, seed):
     outcome = replay(pattern, seed=seed, shape=LOSSY, seconds=SHORT_SECONDS)
--- /dev/null
+++ b/bluebellfold/model/tests/test_settings.py
@@ -0,0 +1,48 @@
+"""Test the settings and the table of replays."""
+
+import pytest
+
+from bluebellfold.core import SettingsError
+from bluebellfold.model import load_model, show_replays
+
+SETTINGS = """
+[run]
+patterns = calm, burst
+rules = in-turn, least-work
+seconds = 2
+[site]
+agents = 4
+balancers = 2
+[links]
+"""
+
+
+def written(folder, text):
+    path = folder / 'model.ini'
+    path.write_text(text, encoding='utf-8')
+    return path
+
+
+def test_each_pattern_is_shown_with_each_rule(tmp_path):
+    rows = list(show_replays(load_model(written(tmp_path, SETTINGS))))
+    shown = [tuple(row.split()[:3]) for row in rows[1:]]
+    assert shown == [
+        ('calm', 'in-turn', '1'),
+        ('calm', 'least-work', '1'),
+        ('burst', 'in-turn', '1'),
+        ('burst', 'least-work', '1'),
+    ]
+
+
+@pytest.mark.parametrize(
+    ('good', 'bad', 'remedy'),
+    [
+        ('calm, burst', 'earthquake', 'all-return'),
+        ('in-turn, least-work', 'by-hand', 'least-work'),
+        ('agents = 4', 'agents = 0', 'agents'),
+    ],
+)
+def test_settings_that_are_wrong_name_what_to_use(tmp_path, good, bad, remedy):
+    path = written(tmp_path, SETTINGS.replace(good, bad))
+    with pytest.raises(SettingsError, match=remedy):
+        load_model(path)
--- a/bluebellfold/operators/command.py
+++ b/bluebellfold/operators/command.py
@@ -195,6 +195,15 @@
         """
         return Invocation(partial(_load, settings))
 
+    @takes_files
+    def model(self, settings: str) -> Invocation:
+        """Replay load patterns in simulated time, and compare rules.
+
+        Args:
+            settings: Path of the settings of the replays.
+        """
+        return Invocation(partial(_model, settings))
+
     @takes_files
     @takes_names
     @takes_deadline
@@ -261,6 +270,18 @@
     return run_load_file(path)
 
 
+def _model(path: str) -> int:
+    # The model imports both roles, and no other command needs it.
+    from bluebellfold.model import (  # noqa: WPS433
+        load_model,
+        show_replays,
+    )
+
+    for line in show_replays(load_model(path)):
+        say(line)
+    return SUCCEEDED
+
+
 def _explain(wanted: str, path: str) -> int:
     explanation = explain_file(wanted, path)
     for step in explanation.steps:
