Revert "Let an agent that is older than its upstream know all flows of it"

And an upstream's announcements that nobody heard come faster than its interval (5 in 0.4 s after a power loss), so their number tells nothing. What holds: agent and upstream start within 20 ms of each other there (born 35.172 s, first line of the agent at 35.55 s).

--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -18,7 +18,6 @@
 from bluebellfold.relay.operators import AgentSettings, load_agent
 from bluebellfold.relay.store import AgentRegistrar
 from bluebellfold.relay.upstreams import (
-    AgentStart,
     AnnouncementServer,
     StopSoon,
     UpstreamFront,
@@ -26,7 +25,6 @@
 )
 
 ROLE = 'agent'
-MILLISECONDS = 1000
 
 _log = logging.getLogger(__name__)
 
@@ -48,13 +46,11 @@
             zone=settings.process.zone,
             # Reports of an earlier start of this agent are older.
             start=time.time_ns(),
-            created=_own_start(clock.now()),
             health=UpstreamHealth(
                 service=settings.service,
                 announcement_seconds=settings.announcement_seconds,
                 now=clock.now(),
             ),
-            announcement_seconds=settings.announcement_seconds,
             clock=clock,
             journal=self._journal,
         )
@@ -102,15 +98,6 @@
         return True
 
 
-def _own_start(now: float) -> AgentStart:
-    running_ms = round(time.time() * MILLISECONDS)
-    # The process is at least as old as the processor time that it has used.
-    used_ms = int(time.process_time() * MILLISECONDS)
-    return AgentStart(
-        created_ms=running_ms - used_ms, running_ms=running_ms, running_at=now
-    )
-
-
 def main(path: str = '') -> int:
     """Run an agent with the settings at a path, and return the exit code."""
     found = path or os.environ.get(SETTINGS_VARIABLE, '')
--- a/bluebellfold/model/machines.py
+++ b/bluebellfold/model/machines.py
@@ -23,7 +23,6 @@
 from bluebellfold.relay.balancers import tag_of
 from bluebellfold.relay.callers.relay import CallerRelay
 from bluebellfold.relay.collectors import Journal
-from bluebellfold.relay.upstreams.ages import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.relay import UpstreamRelay
 
@@ -69,7 +68,6 @@
         self.zone = zone
         self.runs = False
         self._starts = 0
-        self._created_ms = 0
         self._world = world
 
     @property
@@ -80,7 +78,6 @@
     def start(self, *, booted: bool = False) -> None:
         """Start the process; it works once it has booted."""
         self._starts += 1
-        self._created_ms = round(self._world.timeline.now() * MILLISECONDS)
         delay = 0 if booted else self.boot_seconds
         self._world.timeline.after(delay, partial(self._begin, self._starts))
 
@@ -243,12 +240,6 @@
         self._relay = UpstreamRelay(
             zone=self.zone,
             start=round(now * NANOSECONDS),
-            created=AgentStart(
-                created_ms=self._created_ms,
-                running_ms=round(now * MILLISECONDS),
-                running_at=now,
-            ),
-            announcement_seconds=ANNOUNCE_SECONDS,
             health=UpstreamHealth(
                 service=self.service,
                 announcement_seconds=ANNOUNCE_SECONDS,
@@ -276,7 +267,7 @@
                 slots=self._slots,
                 draining=False,
                 warmup_seconds=WARMING_SECONDS * self.upstream.is_warming,
-                born=self.upstream.born_ms,
+                born=start,
                 sequence=self._announcements,
             ),
             now,
--- a/bluebellfold/relay/upstreams/__init__.py
+++ b/bluebellfold/relay/upstreams/__init__.py
@@ -1,6 +1,5 @@
 """Talk with the upstream beside this agent."""
 
-from bluebellfold.relay.upstreams.ages import AgentStart
 from bluebellfold.relay.upstreams.announcing import AnnouncementServer
 from bluebellfold.relay.upstreams.front import UpstreamFront
 from bluebellfold.relay.upstreams.health import UpstreamHealth
@@ -8,7 +7,6 @@
 from bluebellfold.relay.upstreams.relay import UpstreamRelay
 
 __all__ = (
-    'AgentStart',
     'AnnouncementServer',
     'StopSoon',
     'UpstreamFront',
--- a/bluebellfold/relay/upstreams/front.py
+++ b/bluebellfold/relay/upstreams/front.py
@@ -25,7 +25,6 @@
 from bluebellfold.relay.agents import Address, decode_message, encode_message
 from bluebellfold.relay.balancers import tag_of
 from bluebellfold.relay.collectors import Journal
-from bluebellfold.relay.upstreams.ages import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.messages import (
     StopSoon,
@@ -56,9 +55,7 @@
         upstream: Endpoint,
         zone: str,
         start: int,
-        created: AgentStart,
         health: UpstreamHealth,
-        announcement_seconds: float,
         clock: Clock,
         journal: Journal,
     ) -> None:
@@ -76,9 +73,7 @@
         self._relay = UpstreamRelay(
             zone=zone,
             start=start,
-            created=created,
             health=health,
-            announcement_seconds=announcement_seconds,
             outlet=self,
             journal=journal,
             now=clock.now(),
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -10,7 +10,6 @@
 from bluebellfold.core import Announcement, Message, Packet
 from bluebellfold.relay.agents import Address, Carry, Hello, Offer, Seek
 from bluebellfold.relay.collectors import Journal
-from bluebellfold.relay.upstreams.ages import AgentStart
 from bluebellfold.relay.upstreams.carriage import Carriage
 from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.health import (
@@ -41,10 +40,8 @@
         '_flows',
         '_health',
         '_intake',
-        '_interval',
         '_journal',
         '_performance',
-        '_start',
         '_standing',
         '_sweep_due',
     )
@@ -54,15 +51,11 @@
         *,
         zone: str,
         start: int,
-        created: AgentStart,
         health: UpstreamHealth,
-        announcement_seconds: float,
         outlet: Outlet,
         journal: Journal,
         now: float,
     ) -> None:
-        self._start = created
-        self._interval = announcement_seconds
         self._health = health
         self._journal = journal
         self._flows = FlowTable()
@@ -123,7 +116,6 @@
 
     def announce(self, announcement: Announcement, now: float) -> bool:
         """Take what the upstream says, and tell whether it was news."""
-        is_first = not self._health.is_announced
         taken = self._health.announce(announcement, now)
         if taken is OLDER_ANNOUNCEMENT:
             self._journal.count('announcements-older')
@@ -135,8 +127,6 @@
                 reason=OLDER_ANNOUNCEMENT.name,
             )
             return False
-        if is_first:
-            self._compare_starts(announcement, now)
         if taken:
             self._performance.begin_anew(now)
             self._forget_flows(now, 'a new start of the upstream')
@@ -199,21 +189,6 @@
     def _take_seek(self, message: Seek, address: Address, now: float) -> None:
         self._carriage.answer(message, address, now)
 
-    def _compare_starts(self, announcement: Announcement, now: float) -> None:
-        younger = self._start.precedes(
-            announcement, now, interval=self._interval
-        )
-        self._journal.note(
-            'BBF0742',
-            upstream=announcement.name,
-            born=announcement.born,
-            sequence=announcement.sequence,
-            agent_created=self._start.created_ms,
-            younger=younger,
-        )
-        if younger:
-            self._standing.be_certain(now)
-
     def _forget_flows(self, now: float, reason: str) -> None:
         forgotten = self._flows.clear()
         self._standing.change()
