Don't take a balancer without a configuration for one without idle flows

Its hello told 0 s of idle time, so the agent took itself for sure of all flows 5 s later (0 + 5 s of margin) in place of 20 s, denied flows of its living upstream that had been idle since, and the balancer reset them.

Two tests, both failed first. Now hellos without an idle time say nothing, and the time runs from when the agent began to watch, with the longest idle time that balancers tell.

--- a/bluebellfold/relay/upstreams/standing.py
+++ b/bluebellfold/relay/upstreams/standing.py
@@ -48,6 +48,7 @@
         '_start',
         '_stopping',
         '_subscriptions',
+        '_uncertain_since',
         '_uncertain_until',
         '_versions',
         '_zone',
@@ -74,6 +75,7 @@
         self._journal = journal
         self._subscriptions = Subscriptions()
         # What the upstream held before this process started is not known.
+        self._uncertain_since = now
         self._uncertain_until = now + LONGEST_IDLE_SECONDS
         self._sequence = 0
         self._reported_at = now
@@ -112,6 +114,7 @@
     def be_uncertain(self, now: float) -> None:
         """Note that the upstream may hold flows that aren't known."""
         # Flows that opened before are met again within the idle time.
+        self._uncertain_since = now
         self._uncertain_until = now + self.idle_seconds
 
     def state(self, now: float) -> int:
@@ -151,10 +154,12 @@
         if is_new:
             self._journal.note('BBF0726', balancer=address[0], subscribed=True)
             self.report(now)
+        if message.idle_seconds:
             # Flows older than the idle time are gone, so certainty returns
-            # once the agent has watched for that long.
-            longest = message.idle_seconds + IDLE_MARGIN_SECONDS
-            self._uncertain_until = min(self._uncertain_until, now + longest)
+            # once the agent has watched for that long. A balancer that has no
+            # configuration yet tells no idle time, and nothing follows.
+            latest = self._uncertain_since + self.idle_seconds
+            self._uncertain_until = min(self._uncertain_until, latest)
 
     def note_state(
         self, now: float, announcement: Announcement | None = None
--- a/bluebellfold/relay/upstreams/tests/test_carriage.py
+++ b/bluebellfold/relay/upstreams/tests/test_carriage.py
@@ -11,6 +11,8 @@
 )
 from bluebellfold.relay.balancers import tag_of
 from bluebellfold.relay.tests.scene import (
+    Agent,
+    hello_of,
     only,
 )
 from bluebellfold.relay.upstreams.tests.scene import (
@@ -182,6 +184,31 @@
     assert not agent.outlet.delivered
 
 
+def test_agent_is_not_sure_early_for_a_balancer_without_a_configuration():
+    # A balancer that has just started doesn't know for how long flows may be
+    # idle; its hello told 0 s, and 5 s later idle flows were denied and reset.
+    agent = agent_with_balancer()
+    agent.hear(OTHER, hello_of(idle_seconds=0))
+    for _ in range(12):
+        agent.clock.advance(1)
+        agent.announce(sequence=int(agent.now))
+        agent.hear(BALANCER, HELLO)
+        agent.relay.tick(agent.now)
+    agent.hear(BALANCER, SOUGHT)
+    assert agent.outlet.take(MayHold) == [MayHold(flow=DATA.flow)]
+
+
+def test_agent_greeted_only_without_a_configuration_is_not_sure_either():
+    agent = Agent()
+    agent.hear(BALANCER, hello_of(idle_seconds=0))
+    for _ in range(12):
+        agent.clock.advance(1)
+        agent.announce(sequence=int(agent.now))
+        agent.hear(BALANCER, hello_of(idle_seconds=0))
+    agent.hear(BALANCER, SOUGHT)
+    assert agent.outlet.take(MayHold)
+
+
 def test_restarted_agent_asks_its_upstream_and_claims_what_it_answers():
     agent = agent_with_balancer()
     agent.hear(BALANCER, SOUGHT)
