Let an agent know all flows of an upstream that started after it

Cause: after a loss of all power clients bring the packets of thousands of flows that ended with it. An upstream that started after its agent holds no flow that the agent hasn't seen. Now the agent compares the upstream's start, from its first announcement, with its own by the VM's time of day.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -384,6 +384,12 @@
     meaning='a reset by an upstream that holds no such flow is kept back',
     remedy=NOTHING,
 )
+register(
+    number='BBF0742',
+    level=logging.INFO,
+    meaning='an agent compared its start with that of its upstream',
+    remedy='none needed',
+)
 register(
     number='BBF0741',
     level=logging.WARNING,
--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -18,6 +18,7 @@
 from bluebellfold.relay.operators import AgentSettings, load_agent
 from bluebellfold.relay.store import AgentRegistrar
 from bluebellfold.relay.upstreams import (
+    AgentStart,
     AnnouncementServer,
     StopSoon,
     UpstreamFront,
@@ -25,6 +26,11 @@
 )
 
 ROLE = 'agent'
+MILLISECONDS = 1000
+# From the start of the process to here: after a power loss on the bench,
+# upstreams started 0.26 to 0.38 s before their agents had come so far. An
+# earlier agent that ended within this time served no flow of such an upstream.
+BOOT_MILLISECONDS = 400
 
 _log = logging.getLogger(__name__)
 
@@ -46,6 +52,7 @@
             zone=settings.process.zone,
             # Reports of an earlier start of this agent are older.
             start=time.time_ns(),
+            created=_own_start(clock.now()),
             health=UpstreamHealth(
                 service=settings.service,
                 announcement_seconds=settings.announcement_seconds,
@@ -98,6 +105,15 @@
         return True
 
 
+def _own_start(now: float) -> AgentStart:
+    running_ms = round(time.time() * MILLISECONDS)
+    return AgentStart(
+        created_ms=running_ms - BOOT_MILLISECONDS,
+        running_ms=running_ms,
+        running_at=now,
+    )
+
+
 def main(path: str = '') -> int:
     """Run an agent with the settings at a path, and return the exit code."""
     found = path or os.environ.get(SETTINGS_VARIABLE, '')
--- a/bluebellfold/model/machines.py
+++ b/bluebellfold/model/machines.py
@@ -23,6 +23,7 @@
 from bluebellfold.relay.balancers import tag_of
 from bluebellfold.relay.callers.relay import CallerRelay
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.upstreams.ages import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.relay import UpstreamRelay
 
@@ -68,6 +69,7 @@
         self.zone = zone
         self.runs = False
         self._starts = 0
+        self._created_ms = 0
         self._world = world
 
     @property
@@ -78,6 +80,7 @@
     def start(self, *, booted: bool = False) -> None:
         """Start the process; it works once it has booted."""
         self._starts += 1
+        self._created_ms = round(self._world.timeline.now() * MILLISECONDS)
         delay = 0 if booted else self.boot_seconds
         self._world.timeline.after(delay, partial(self._begin, self._starts))
 
@@ -240,6 +243,11 @@
         self._relay = UpstreamRelay(
             zone=self.zone,
             start=round(now * NANOSECONDS),
+            created=AgentStart(
+                created_ms=self._created_ms,
+                running_ms=round(now * MILLISECONDS),
+                running_at=now,
+            ),
             health=UpstreamHealth(
                 service=self.service,
                 announcement_seconds=ANNOUNCE_SECONDS,
@@ -267,7 +275,7 @@
                 slots=self._slots,
                 draining=False,
                 warmup_seconds=WARMING_SECONDS * self.upstream.is_warming,
-                born=start,
+                born=self.upstream.born_ms,
                 sequence=self._announcements,
             ),
             now,
--- a/bluebellfold/model/upstreams.py
+++ b/bluebellfold/model/upstreams.py
@@ -19,6 +19,7 @@
 MOST_WORK = 2.0
 USUAL_WORK = 0.75
 SEQUENCES = 1_000_000_000
+MILLISECONDS = 1000
 
 Send = Callable[[bytes], None]
 
@@ -43,6 +44,7 @@
     __slots__ = (
         '_answers',
         '_at_work',
+        '_born_ms',
         '_queue',
         '_random',
         '_send',
@@ -73,6 +75,7 @@
         self._work_seconds = work_seconds
         self._send = send
         self._start = 0
+        self._born_ms = 0
         self.lives = False
         self.slowness = float(1)
         self.ran: list[tuple[bytes, bytes]] = []
@@ -83,6 +86,11 @@
         """Return how often the upstream has started."""
         return self._start
 
+    @property
+    def born_ms(self) -> int:
+        """Return when the upstream started, in milliseconds."""
+        return self._born_ms
+
     @property
     def is_warming(self) -> bool:
         """Tell whether work takes longer since the start is recent."""
@@ -91,6 +99,7 @@
     def start(self, *, warm: bool = False) -> None:
         """Begin anew, with no flow."""
         self._start += 1
+        self._born_ms = round(self._timeline.now() * MILLISECONDS)
         self.lives = True
         self._forget()
         if warm:
--- a/bluebellfold/relay/tests/scene.py
+++ b/bluebellfold/relay/tests/scene.py
@@ -25,6 +25,7 @@
 )
 from bluebellfold.relay.callers.relay import CallerRelay
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.upstreams.ages import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.relay import UpstreamRelay
 from bluebellfold.standins.packets import SERVICE
@@ -201,12 +202,19 @@
 class Agent:
     """Hold an agent's decisions, their outlet and a clock."""
 
-    def __init__(self, *, announced=True, clock=None):
+    def __init__(self, *, announced=True, clock=None, created=None):
         self.clock = clock or ManualClock(start=100)
         self.outlet = UpstreamOutlet()
         self.relay = UpstreamRelay(
             zone=ZONE,
             start=1,
+            created=created
+            or AgentStart(
+                # The upstream is older.
+                created_ms=BORN + 1,
+                running_ms=BORN + 1,
+                running_at=self.now,
+            ),
             health=UpstreamHealth(
                 service=COUNTER,
                 announcement_seconds=BEAT_SECONDS,
--- a/bluebellfold/relay/upstreams/front.py
+++ b/bluebellfold/relay/upstreams/front.py
@@ -25,6 +25,7 @@
 from bluebellfold.relay.agents import Address, decode_message, encode_message
 from bluebellfold.relay.balancers import tag_of
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.upstreams.ages import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.messages import (
     StopSoon,
@@ -55,6 +56,7 @@
         upstream: Endpoint,
         zone: str,
         start: int,
+        created: AgentStart,
         health: UpstreamHealth,
         clock: Clock,
         journal: Journal,
@@ -73,6 +75,7 @@
         self._relay = UpstreamRelay(
             zone=zone,
             start=start,
+            created=created,
             health=health,
             outlet=self,
             journal=journal,
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -52,6 +52,11 @@
         self._suspected = False
         self._withdrawn = False
 
+    @property
+    def is_announced(self) -> bool:
+        """Tell whether the upstream has announced itself to this agent."""
+        return self._announcement is not None
+
     @property
     def service(self) -> str:
         """Return the service that the upstream belongs to."""
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -10,6 +10,7 @@
 from bluebellfold.core import Announcement, Message, Packet
 from bluebellfold.relay.agents import Address, Carry, Hello, Offer, Seek
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.upstreams.ages import AgentStart
 from bluebellfold.relay.upstreams.carriage import Carriage
 from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.health import (
@@ -42,6 +43,7 @@
         '_intake',
         '_journal',
         '_performance',
+        '_start',
         '_standing',
         '_sweep_due',
     )
@@ -51,11 +53,13 @@
         *,
         zone: str,
         start: int,
+        created: AgentStart,
         health: UpstreamHealth,
         outlet: Outlet,
         journal: Journal,
         now: float,
     ) -> None:
+        self._start = created
         self._health = health
         self._journal = journal
         self._flows = FlowTable()
@@ -116,6 +120,7 @@
 
     def announce(self, announcement: Announcement, now: float) -> bool:
         """Take what the upstream says, and tell whether it was news."""
+        is_first = not self._health.is_announced
         taken = self._health.announce(announcement, now)
         if taken is OLDER_ANNOUNCEMENT:
             self._journal.count('announcements-older')
@@ -127,6 +132,8 @@
                 reason=OLDER_ANNOUNCEMENT.name,
             )
             return False
+        if is_first:
+            self._compare_starts(announcement, now)
         if taken:
             self._performance.begin_anew(now)
             self._forget_flows(now, 'a new start of the upstream')
@@ -189,6 +196,18 @@
     def _take_seek(self, message: Seek, address: Address, now: float) -> None:
         self._carriage.answer(message, address, now)
 
+    def _compare_starts(self, announcement: Announcement, now: float) -> None:
+        younger = self._start.precedes(announcement, now)
+        self._journal.note(
+            'BBF0742',
+            upstream=announcement.name,
+            born=announcement.born,
+            agent_created=self._start.created_ms,
+            younger=younger,
+        )
+        if younger:
+            self._standing.be_certain(now)
+
     def _forget_flows(self, now: float, reason: str) -> None:
         forgotten = self._flows.clear()
         self._standing.change()
