--- a/bluebellfold/model/clients.py
+++ b/bluebellfold/model/clients.py
@@ -43,6 +43,12 @@
     def next_port(self) -> int:
         """Return a port that no other flow has."""
 
+    def new_wish(self) -> 'Wish':
+        """Return another thing that a client wants served."""
+
+    def begin(self, flow: 'ModelFlow') -> None:
+        """Let a client open a flow."""
+
 
 class Wish:
     """Hold what a client wants served, over all of its tries."""
--- a/bluebellfold/model/world.py
+++ b/bluebellfold/model/world.py
@@ -28,7 +28,7 @@
 from bluebellfold.platform import decode_client_packet, decode_packet
 from bluebellfold.relay.agents import DEFAULT_RULE, Address
 from bluebellfold.relay.collectors import Journal
-from bluebellfold.standins.packets import CLIENT, SERVICE
+from bluebellfold.standins.packets import SERVICE
 
 ZONES = ('a', 'b', 'c')
 SERVICE_NAME = 'counter'
@@ -259,6 +259,3 @@
         priority=1,
         timeout_seconds=3,
     )
-
-
-__all__ = ('CLIENT', 'ModelSite', 'Shape')
