--- a/bluebellfold/ini/reading.py
+++ b/bluebellfold/ini/reading.py
@@ -13,7 +13,7 @@
 )
 
 from bluebellfold.core import SettingsError
-from bluebellfold.ini.complaint import Complaint
+from bluebellfold.ini.complaint import Complaint, raise_first
 from bluebellfold.ini.value_checks import make_validator
 
 OPERATORS = 'bluebellfold.operators'
@@ -87,6 +87,21 @@
     )
 
 
+def read_checked(
+    path: str | Path, spec_name: str, *, package: str = OPERATORS
+) -> dict[str, Any]:
+    """Return the sections of a file that fits a spec, or raise SettingsError.
+
+    Values are converted as the spec says, and defaults are filled in.
+    """
+    source = read_source(path)
+    complaints = complaints_about_values(
+        source.parsed, read_spec(spec_name, package=package)
+    )
+    raise_first(complaints, lambda _: source.name)
+    return source.parsed.dict()
+
+
 def complaints_about_values(
     parsed: ConfigObj,
     spec: ConfigObj,
--- a/bluebellfold/model/settings.py
+++ b/bluebellfold/model/settings.py
@@ -1,18 +1,10 @@
 """Load the settings of replays in the model."""
 
-from functools import partial
 from pathlib import Path
 from typing import Any
 
 from bluebellfold.core import Record, SettingsError, read_only
-from bluebellfold.ini import (
-    Complaint,
-    complaints_about_values,
-    raise_first,
-    read_source,
-    read_spec,
-    use_one_of,
-)
+from bluebellfold.ini import read_checked, use_one_of
 from bluebellfold.model.patterns import PATTERNS
 from bluebellfold.model.world import Shape
 from bluebellfold.relay.agents import RULES
@@ -54,13 +46,7 @@
 
 def load_model(path: str | Path) -> ModelSettings:
     """Return the settings of replays, or raise SettingsError."""
-    source = read_source(path)
-    spec = read_spec(SPEC, package=PACKAGE)
-    raise_first(
-        complaints_about_values(source.parsed, spec),
-        partial(_only, source.name),
-    )
-    sections = source.parsed.dict()
+    sections = read_checked(path, SPEC, package=PACKAGE)
     run, site = sections['run'], sections['site']
     first = run['first_seed']
     site['work_seconds'] = site.pop('work_milliseconds') / MILLISECONDS
@@ -81,7 +67,3 @@
                 remedy=use_one_of(tuple(registry)),
             )
     return tuple(names)
-
-
-def _only(name: str, _: Complaint) -> str:
-    return name
--- a/bluebellfold/relay/operators/settings.py
+++ b/bluebellfold/relay/operators/settings.py
@@ -1,20 +1,12 @@
 """Load the settings of a process that relays packets."""
 
-from functools import partial
 from pathlib import Path
 from typing import Any
 
 from configobj.validate import ValidateError
 
 from bluebellfold.core import Endpoint, Record, SettingsError, read_only
-from bluebellfold.ini import (
-    Complaint,
-    check_endpoint,
-    complaints_about_values,
-    raise_first,
-    read_source,
-    read_spec,
-)
+from bluebellfold.ini import check_endpoint, read_checked
 
 PACKAGE = 'bluebellfold.relay.operators'
 BALANCER_SPEC = 'balancer.spec.ini'
@@ -118,7 +110,7 @@
 
 def load_balancer(path: str | Path) -> BalancerSettings:
     """Return the settings of a balancer, or raise SettingsError."""
-    sections = _load(path, BALANCER_SPEC)
+    sections = read_checked(path, BALANCER_SPEC, package=PACKAGE)
     own = sections['balancer']
     return BalancerSettings(
         process=_process_of(sections, own, path),
@@ -129,7 +121,7 @@
 
 def load_agent(path: str | Path) -> AgentSettings:
     """Return the settings of an agent, or raise SettingsError."""
-    sections = _load(path, AGENT_SPEC)
+    sections = read_checked(path, AGENT_SPEC, package=PACKAGE)
     own = sections['agent']
     return AgentSettings(
         process=_process_of(sections, own, path),
@@ -142,16 +134,6 @@
     )
 
 
-def _load(path: str | Path, spec_name: str) -> dict[str, Any]:
-    source = read_source(path)
-    spec = read_spec(spec_name, package=PACKAGE)
-    raise_first(
-        complaints_about_values(source.parsed, spec),
-        partial(_only, source.name),
-    )
-    return source.parsed.dict()
-
-
 def _process_of(
     sections: dict[str, Any], own: dict[str, Any], path: str | Path
 ) -> RelayProcess:
@@ -176,7 +158,3 @@
             problem=f'{path}: metrics: {error}',
             remedy='give host:port, or leave it empty for no metrics',
         ) from None
-
-
-def _only(name: str, _: Complaint) -> str:
-    return name
