--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -28,8 +28,9 @@
 ROLE = 'agent'
 MILLISECONDS = 1000
 # From the start of the process to here: after a power loss on the bench,
-# upstreams started 0.26 to 0.38 s before their agents had come so far. An
-# earlier agent that ended within this time served no flow of such an upstream.
+# upstreams started 0.26 to 0.38 s before their agents had come so far. Where a
+# process gets here sooner, an upstream that an earlier agent served for less
+# than the difference is taken for younger.
 BOOT_MILLISECONDS = 400
 
 _log = logging.getLogger(__name__)
@@ -52,7 +53,7 @@
             zone=settings.process.zone,
             # Reports of an earlier start of this agent are older.
             start=time.time_ns(),
-            created=_own_start(clock.now()),
+            own_start=_own_start(clock.now()),
             health=UpstreamHealth(
                 service=settings.service,
                 announcement_seconds=settings.announcement_seconds,
--- a/bluebellfold/model/machines.py
+++ b/bluebellfold/model/machines.py
@@ -62,6 +62,8 @@
 class Machine:
     """Hold what all machines have, and restart their process."""
 
+    __slots__ = ('_created_ms', '_starts', '_world', 'host', 'runs', 'zone')
+
     boot_seconds = float(0)
 
     def __init__(self, *, host: str, zone: str, world: World) -> None:
@@ -113,6 +115,8 @@
 class BalancerMachine(Machine):
     """Run the decisions of a balancer, and be its outlet."""
 
+    __slots__ = ('_relay', '_rule')
+
     boot_seconds = BALANCER_BOOT_SECONDS
 
     def __init__(self, *, rule: str, **fields: object) -> None:
@@ -168,6 +172,15 @@
 class AgentMachine(Machine):
     """Run the decisions of an agent beside its upstream."""
 
+    __slots__ = (
+        '_announcements',
+        '_due',
+        '_relay',
+        '_slots',
+        'service',
+        'upstream',
+    )
+
     boot_seconds = AGENT_BOOT_SECONDS
 
     def __init__(
@@ -243,7 +256,7 @@
         self._relay = UpstreamRelay(
             zone=self.zone,
             start=round(now * NANOSECONDS),
-            created=AgentStart(
+            own_start=AgentStart(
                 created_ms=self._created_ms,
                 running_ms=round(now * MILLISECONDS),
                 running_at=now,
--- a/bluebellfold/relay/tests/scene.py
+++ b/bluebellfold/relay/tests/scene.py
@@ -202,13 +202,13 @@
 class Agent:
     """Hold an agent's decisions, their outlet and a clock."""
 
-    def __init__(self, *, announced=True, clock=None, created=None):
+    def __init__(self, *, announced=True, clock=None, own_start=None):
         self.clock = clock or ManualClock(start=100)
         self.outlet = UpstreamOutlet()
         self.relay = UpstreamRelay(
             zone=ZONE,
             start=1,
-            created=created
+            own_start=own_start
             or AgentStart(
                 # The upstream is older.
                 created_ms=BORN + 1,
--- a/bluebellfold/relay/upstreams/front.py
+++ b/bluebellfold/relay/upstreams/front.py
@@ -56,7 +56,7 @@
         upstream: Endpoint,
         zone: str,
         start: int,
-        created: AgentStart,
+        own_start: AgentStart,
         health: UpstreamHealth,
         clock: Clock,
         journal: Journal,
@@ -75,7 +75,7 @@
         self._relay = UpstreamRelay(
             zone=zone,
             start=start,
-            created=created,
+            own_start=own_start,
             health=health,
             outlet=self,
             journal=journal,
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -43,7 +43,7 @@
         '_intake',
         '_journal',
         '_performance',
-        '_start',
+        '_own_start',
         '_standing',
         '_sweep_due',
     )
@@ -53,13 +53,13 @@
         *,
         zone: str,
         start: int,
-        created: AgentStart,
+        own_start: AgentStart,
         health: UpstreamHealth,
         outlet: Outlet,
         journal: Journal,
         now: float,
     ) -> None:
-        self._start = created
+        self._own_start = own_start
         self._health = health
         self._journal = journal
         self._flows = FlowTable()
@@ -197,12 +197,12 @@
         self._carriage.answer(message, address, now)
 
     def _compare_starts(self, announcement: Announcement, now: float) -> None:
-        younger = self._start.precedes(announcement, now)
+        younger = self._own_start.precedes(announcement, now)
         self._journal.note(
             'BBF0742',
             upstream=announcement.name,
             born=announcement.born,
-            agent_created=self._start.created_ms,
+            agent_created=self._own_start.created_ms,
             younger=younger,
         )
         if younger:
--- a/bluebellfold/relay/upstreams/tests/test_ages.py
+++ b/bluebellfold/relay/upstreams/tests/test_ages.py
@@ -29,7 +29,7 @@
 
 
 def test_flows_from_before_a_power_loss_are_denied_at_once():
-    agent = sought_at(Agent(created=STARTED))
+    agent = sought_at(Agent(own_start=STARTED))
     assert agent.outlet.take(Denied)
     agent.hear(BALANCER, Carry(packet=DATA))
     assert agent.outlet.take(NotHeld)
@@ -37,7 +37,7 @@
 
 
 def test_agent_cannot_tell_before_its_upstream_announces_itself():
-    agent = sought_at(Agent(created=STARTED, announced=False))
+    agent = sought_at(Agent(own_start=STARTED, announced=False))
     assert agent.outlet.take(MayHold)
 
 
@@ -49,13 +49,13 @@
     ],
 )
 def test_flows_of_an_older_upstream_are_tried_there(announced, why):
-    agent = Agent(created=STARTED, announced=False)
+    agent = Agent(own_start=STARTED, announced=False)
     agent.announce(**announced)
     assert sought_at(agent).outlet.take(MayHold), why
 
 
 def test_later_start_of_the_upstream_is_learned_as_before():
     # Flows that opened there before the announcement may not be known.
-    agent = Agent(created=STARTED)
+    agent = Agent(own_start=STARTED)
     agent.announce(born=BORN + 100, sequence=1, name='i-2')
     assert sought_at(agent).outlet.take(MayHold)
