--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -14,6 +14,7 @@
     report_settings_error,
     run_relay,
 )
+from bluebellfold.relay.agents import AgentEntry
 from bluebellfold.relay.collectors import Journal, StatusServer
 from bluebellfold.relay.operators import AgentSettings, load_agent
 from bluebellfold.relay.store import AgentRegistrar
@@ -70,7 +71,11 @@
         process = settings.process
         registrar = AgentRegistrar(
             endpoint=process.store,
-            address=(settings.datagrams.host, settings.datagrams.port),
+            entry=AgentEntry(
+                address=(settings.datagrams.host, settings.datagrams.port),
+                service=settings.service,
+                zone=process.zone,
+            ),
         )
         status_server = partial(
             StatusServer,
--- a/bluebellfold/model/machines.py
+++ b/bluebellfold/model/machines.py
@@ -19,7 +19,12 @@
     encode_reset,
     tag_packet,
 )
-from bluebellfold.relay.agents import Address, decode_message, encode_message
+from bluebellfold.relay.agents import (
+    Address,
+    AgentEntry,
+    decode_message,
+    encode_message,
+)
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.callers.relay import ClientRelay
 from bluebellfold.relay.collectors import Journal
@@ -52,8 +57,8 @@
     def agent_at(self, host: str) -> 'AgentMachine':
         """Return the agent at an address."""
 
-    def agent_addresses(self) -> list[Address]:
-        """Return the addresses where agents receive datagrams."""
+    def agent_entries(self) -> list[AgentEntry]:
+        """Return the list of agents."""
 
     def deliver_to_client(self, raw: bytes, *, reset_by: str = '') -> None:
         """Deliver a packet to its client.
@@ -170,6 +175,7 @@
     def _create_relay(self) -> None:
         now = self._world.timeline.now()
         self._relay = ClientRelay(
+            identity=self.host,
             zone=self.zone,
             transport=self,
             journal=self._world.journal,
@@ -178,7 +184,7 @@
         )
         self._relay.set_routes_fresh(fresh=True)
         self._relay.update_routes(self._world.routes, now=now)
-        self._relay.update_agents(self._world.agent_addresses(), now)
+        self._relay.update_agents(self._world.agent_entries(), now)
 
     def _run_due_work(self) -> None:
         self._relay.tick(self._world.timeline.now())
--- a/bluebellfold/model/world.py
+++ b/bluebellfold/model/world.py
@@ -26,7 +26,7 @@
 from bluebellfold.model.timeline import Timeline
 from bluebellfold.model.wire import payload_of
 from bluebellfold.platform import decode_client_packet, decode_packet
-from bluebellfold.relay.agents import DEFAULT_POLICY, Address
+from bluebellfold.relay.agents import DEFAULT_POLICY, AgentEntry
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.standins.packets import SERVICE
 
@@ -204,9 +204,14 @@
         """Return the agent at an address."""
         return self._machines[host]
 
-    def agent_addresses(self) -> list[Address]:
-        """Return the addresses where agents receive datagrams."""
-        return [agent.address for agent in self.agents]
+    def agent_entries(self) -> list[AgentEntry]:
+        """Return the list of agents."""
+        return [
+            AgentEntry(
+                address=agent.address, service=agent.service, zone=agent.zone
+            )
+            for agent in self.agents
+        ]
 
     def send_to_balancer(self, raw: bytes, flow: ModelFlow) -> None:
         """Send a client's packet to the balancer that its flow hashes to."""
--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -1,8 +1,9 @@
 """Exchange messages with agents and select agents for new flows."""
 
+from bluebellfold.relay.agents.agent_entry import Address, AgentEntry
 from bluebellfold.relay.agents.agent_table import (
-    Address,
     AgentTable,
+    AgentTableChange,
     AgentView,
 )
 from bluebellfold.relay.agents.codec import (
@@ -29,6 +30,7 @@
     FlowLookup,
     FlowMessage,
     FlowNotFound,
+    FlowOwner,
     FlowUncertain,
     ForwardedPacket,
     LoadReport,
@@ -46,6 +48,11 @@
     queue_capacity,
     select_agent,
 )
+from bluebellfold.relay.agents.subset import (
+    SUBSET_SIZE,
+    hash_evenly,
+    select_subset,
+)
 
 __all__ = (
     'ALL_FULL',
@@ -63,17 +70,21 @@
     'POLICIES',
     'READY',
     'STATE_NAMES',
+    'SUBSET_SIZE',
     'UNKNOWN',
     'UNREADABLE_MESSAGE',
     'Address',
+    'AgentEntry',
     'AgentLoad',
     'AgentTable',
+    'AgentTableChange',
     'AgentView',
     'Declined',
     'FlowFound',
     'FlowLookup',
     'FlowMessage',
     'FlowNotFound',
+    'FlowOwner',
     'FlowUncertain',
     'ForwardedPacket',
     'LoadReport',
@@ -84,6 +95,8 @@
     'Versions',
     'decode_message',
     'encode_message',
+    'hash_evenly',
     'queue_capacity',
     'select_agent',
+    'select_subset',
 )
--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -1,19 +1,21 @@
 """Track the load and reachability of each agent at a balancer."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from bluebellfold.core import Record, read_only
+from bluebellfold.relay.agents.agent_entry import Address, AgentEntry
 from bluebellfold.relay.agents.messages import READY, AgentLoad
 
-Address = tuple[str, int]
-
-# An agent reports at least every 0.2 s; three lost reports make it unreachable.
+# An agent reports at least every 0.2 s to a balancer that follows it; three
+# lost reports make it unreachable.
 REPORT_TIMEOUT_SECONDS = 0.7
+# The single report of an agent that the balancer doesn't follow ages faster.
+SAMPLE_TIMEOUT_SECONDS = 0.5
 # A running agent reports within this time. Between the last report before a
 # restart and the first one after it, more time passes.
 MAX_REPORT_INTERVAL_SECONDS = 0.3
-# A planned restart takes less time than this. An agent that is unreachable for
-# longer has crashed or is partitioned.
+# A planned restart takes less time than this. An agent that is silent for
+# longer, though a message from it is due, has crashed or is partitioned.
 PRESUMED_DEAD_SECONDS = 3.0
 # Offers that the agent has not seen yet count as load. If there are more than
 # this, they have been lost, and must not count as load permanently.
@@ -24,25 +26,30 @@
 class AgentView:
     """Hold what a balancer knows of one agent.
 
-    This is its last load report, the number of offers sent to it, and the time
-    until which it is offered no flows.
+    This is its entry in the list, its last load report, the number of offers
+    sent to it, and since when a message from it is due. A balancer *follows*
+    the agents whose load reports it has subscribed to.
     """
 
     __slots__ = (
-        '_address',
         '_backoff_until',
-        '_known_since',
+        '_due_since',
+        '_entry',
+        '_is_followed',
         '_load',
         '_offers_sent',
+        '_probed_at',
         '_reported_at',
         '_unreachable',
     )
 
-    def __init__(self, *, address: Address, now: float) -> None:
-        self._address = address
-        self._known_since = now
+    def __init__(self, *, entry: AgentEntry, now: float) -> None:
+        self._entry = entry
         self._load: AgentLoad | None = None
         self._reported_at = now
+        self._probed_at = now
+        self._due_since: float | None = None
+        self._is_followed = False
         self._offers_sent = 0
         self._backoff_until = now
         self._unreachable = False
@@ -50,7 +57,22 @@
     @property
     def address(self) -> Address:
         """Return the address at which the agent receives datagrams."""
-        return self._address
+        return self._entry.address
+
+    @property
+    def entry(self) -> AgentEntry:
+        """Return the agent's entry in the list."""
+        return self._entry
+
+    @property
+    def is_followed(self) -> bool:
+        """Return whether the balancer subscribes to the agent's reports."""
+        return self._is_followed
+
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether a message from the agent is due."""
+        return self._due_since is not None
 
     @property
     def load(self) -> AgentLoad | None:
@@ -77,20 +99,34 @@
         """Return the time of the last report, or of the agent's discovery."""
         return self._reported_at
 
+    @property
+    def probed_at(self) -> float:
+        """Return when the agent was last asked for a report."""
+        return self._probed_at
+
     def report_age_seconds(self, now: float) -> float:
         """Return the time since the last report or the agent's discovery."""
         return now - self._reported_at
 
     def is_live(self, now: float) -> bool:
         """Tell whether the agent has reported within the report timeout."""
-        return (
-            self._load is not None
-            and self.report_age_seconds(now) <= REPORT_TIMEOUT_SECONDS
-        )
+        if self._load is None or self._unreachable:
+            return False
+        timeout = SAMPLE_TIMEOUT_SECONDS
+        if self._is_followed:
+            timeout = REPORT_TIMEOUT_SECONDS
+        return self.report_age_seconds(now) <= timeout
+
+    def silent_seconds(self, now: float) -> float:
+        """Return for how long a message from the agent has been due."""
+        return 0 if self._due_since is None else now - self._due_since
 
     def is_presumed_dead(self, now: float) -> bool:
-        """Tell whether the agent is unreachable for longer than a restart."""
-        return self.report_age_seconds(now) > PRESUMED_DEAD_SECONDS
+        """Tell whether the agent is silent for longer than a restart.
+
+        An agent from which no message is due may be silent.
+        """
+        return self.silent_seconds(now) > PRESUMED_DEAD_SECONDS
 
     def accepts_flows(self, now: float) -> bool:
         """Tell whether the agent is live, ready and not in backoff."""
@@ -104,6 +140,34 @@
         """Count a flow offered to the agent."""
         self._offers_sent = (self._offers_sent + 1) & _MAX_COUNTER
 
+    def follow(self, now: float, *, followed: bool) -> None:
+        """Set whether the balancer follows the agent."""
+        if followed == self._is_followed:
+            return
+        self._is_followed = followed
+        # A followed agent is due to report; another one owes nothing.
+        if followed:
+            self.expect_message(now)
+        elif not self.is_presumed_dead(now):
+            self._due_since = None
+
+    def expect_message(self, now: float) -> None:
+        """Record that the agent was asked, and a message from it is due."""
+        if self._due_since is None:
+            self._due_since = now
+
+    def forget_silence(self) -> None:
+        """Forget that the agent was silent: too long ago to tell anything."""
+        self._due_since = None
+
+    def mark_heard(self, now: float) -> None:
+        """Record that the agent has sent a message."""
+        self._due_since = now if self._is_followed else None
+
+    def mark_probed(self, now: float) -> None:
+        """Record that the agent was asked for a report."""
+        self._probed_at = now
+
     def detect_unreachable(self, now: float) -> bool:
         """Mark an agent that has stopped reporting as unreachable.
 
@@ -114,12 +178,19 @@
         self._unreachable = True
         return True
 
+    def suspect(self) -> None:
+        """Offer the agent no flows until its next report."""
+        self._unreachable = True
+
     def extend_report_deadline(self, now: float) -> None:
-        """Limit the age of the last report to the report timeout.
+        """Limit the time for which the agent counts as silent.
 
         The agent then has time to report before it is presumed dead.
         """
-        self._reported_at = max(self._reported_at, now - REPORT_TIMEOUT_SECONDS)
+        earliest = now - REPORT_TIMEOUT_SECONDS
+        self._reported_at = max(self._reported_at, earliest)
+        if self._due_since is not None:
+            self._due_since = max(self._due_since, earliest)
 
     def back_off_until(self, moment: float) -> None:
         """Offer no new flows to the agent until a moment."""
@@ -141,11 +212,12 @@
         self._load = load
         self._reported_at = now
         self._unreachable = False
+        self.mark_heard(now)
         return True
 
 
 class AgentTableChange(Record):
-    """List the agents that an update of the addresses added and removed."""
+    """List the agents that an update of the list added and removed."""
 
     __slots__ = ('_added', '_removed')
 
@@ -163,12 +235,20 @@
 
 
 class AgentTable:
-    """Hold the views of all agents by address."""
+    """Hold the views of all listed agents by address.
 
-    __slots__ = ('_views',)
+    The agents with a recent report, the followed ones and the awaited ones are
+    few in a large fleet, so they are held apart.
+    """
+
+    __slots__ = ('_awaited', '_by_service', '_followed', '_reporting', '_views')
 
     def __init__(self) -> None:
         self._views: dict[Address, AgentView] = {}
+        self._by_service: dict[str, list[AgentView]] = {}
+        self._followed: dict[Address, AgentView] = {}
+        self._reporting: dict[Address, AgentView] = {}
+        self._awaited: dict[Address, AgentView] = {}
 
     def __len__(self) -> int:
         """Return the number of agents."""
@@ -179,6 +259,23 @@
         """Return the views of all agents."""
         return self._views.values()
 
+    @property
+    def followed(self) -> tuple[AgentView, ...]:
+        """Return the views of the agents that the balancer follows."""
+        return tuple(self._followed.values())
+
+    @property
+    def awaited(self) -> tuple[AgentView, ...]:
+        """Return the agents that aren't followed and owe a message."""
+        return tuple(
+            view for view in self._awaited.values() if not view.is_followed
+        )
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services that the list names."""
+        return tuple(self._by_service)
+
     def find(self, address: Address) -> AgentView | None:
         """Return the view of an agent, None if it is not in the table."""
         return self._views.get(address)
@@ -192,25 +289,112 @@
         for view in self._views.values():
             view.extend_report_deadline(now)
 
-    def update_addresses(
-        self, addresses: Iterable[Address], now: float
+    def update_entries(
+        self, entries: Iterable[AgentEntry], now: float
     ) -> AgentTableChange:
-        """Add and remove views to match a new list of addresses."""
-        wanted = set(addresses)
+        """Add and remove views to match a new list of agents.
+
+        An agent whose entry names another service or zone is a new one.
+        """
+        wanted = {entry.address: entry for entry in entries}
         # Sorted, so that runs with the same random seed choose the same
         # agents.
-        added = tuple(sorted(wanted - self._views.keys()))
-        removed = tuple(sorted(self._views.keys() - wanted))
+        removed = tuple(sorted(self._views.keys() - wanted.keys()))
+        changed = tuple(
+            sorted(
+                address
+                for address, entry in wanted.items()
+                if address not in self._views
+                or self._views[address].entry != entry
+            )
+        )
         for address in removed:
-            self._views.pop(address)
-        for address in added:
-            self._views[address] = AgentView(address=address, now=now)
-        return AgentTableChange(added=added, removed=removed)
+            self._remove(address)
+        for address in changed:
+            self._remove(address)
+            self._views[address] = AgentView(entry=wanted[address], now=now)
+        if changed or removed:
+            self._index_services()
+        return AgentTableChange(added=changed, removed=removed)
+
+    def listed_for(self, service: str) -> list[AgentView]:
+        """Return the views of the agents that are listed for a service."""
+        return self._by_service.get(service, [])
+
+    def follow(self, addresses: Collection[Address], now: float) -> None:
+        """Follow these agents and no others."""
+        for address, view in tuple(self._followed.items()):
+            if address not in addresses:
+                self._followed.pop(address)
+                view.follow(now, followed=False)
+                if view.is_awaited:
+                    self._awaited[address] = view
+        for address in addresses:
+            followed = self._views[address]
+            self._followed[address] = followed
+            followed.follow(now, followed=True)
+
+    def update_load(
+        self, address: Address, load: AgentLoad, now: float
+    ) -> bool:
+        """Store a load report if it is newer; tell whether it was stored."""
+        view = self._views.get(address)
+        if view is None or not view.update(load, now):
+            return False
+        self._reporting[address] = view
+        self._awaited.pop(address, None)
+        return True
+
+    def mark_heard(self, address: Address, now: float) -> None:
+        """Record that an agent has sent a message."""
+        view = self._views.get(address)
+        if view is not None:
+            view.mark_heard(now)
+            self._awaited.pop(address, None)
+
+    def expect_message(self, view: AgentView, now: float) -> None:
+        """Record that a message from an agent is due."""
+        view.expect_message(now)
+        self._awaited[view.address] = view
+
+    def forget_silence(self, view: AgentView) -> None:
+        """Stop waiting for a message from an agent."""
+        view.forget_silence()
+        self._awaited.pop(view.address, None)
+
+    def remove_stale(self, now: float) -> None:
+        """Remove outdated reports of agents that aren't followed."""
+        stale = [
+            address
+            for address, view in self._reporting.items()
+            if not view.is_followed and not view.is_live(now)
+        ]
+        for address in stale:
+            self._reporting.pop(address)
 
     def of_service(self, service: str) -> list[AgentView]:
         """Return the views of the agents whose last report names a service."""
         return [
             view
-            for view in self._views.values()
-            if view.load is not None and view.load.service == service
+            for view in self._reporting.values()
+            if view.load.service == service
         ]
+
+    def has_live(self, now: float) -> bool:
+        """Tell whether an agent is live."""
+        return any(view.is_live(now) for view in self._reporting.values())
+
+    def _remove(self, address: Address) -> None:
+        for views in (
+            self._views,
+            self._followed,
+            self._reporting,
+            self._awaited,
+        ):
+            views.pop(address, None)
+
+    def _index_services(self) -> None:
+        self._by_service = {}
+        for indexed in self._views.values():
+            listed = self._by_service.setdefault(indexed.entry.service, [])
+            listed.append(indexed)
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -1,5 +1,6 @@
 """Encode the messages between balancers and agents as datagrams."""
 
+import socket
 import struct
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +12,7 @@
     FlowFound,
     FlowLookup,
     FlowNotFound,
+    FlowOwner,
     FlowUncertain,
     ForwardedPacket,
     LoadReport,
@@ -21,8 +23,9 @@
     Versions,
 )
 
-# Idle seconds, offers sent, configuration version, agent list revision.
-_SUBSCRIBE_FIELDS = struct.Struct('>fIqq')
+# Idle seconds, offers sent, configuration version, agent list revision, one
+# report only.
+_SUBSCRIBE_FIELDS = struct.Struct('>fIqq?')
 # Incarnation, sequence, offers seen, state, warming up, slots, requests
 # in flight, flows, configuration version, agent list revision, mean work
 # seconds, failure share.
@@ -32,6 +35,8 @@
 FLOW_KEY_BYTES = 12
 # Flow key, acknowledgement number.
 _LOOKUP_FIELDS = struct.Struct('>12sI')
+# Flow key, IPv4 address and port of the owner.
+_OWNER_FIELDS = struct.Struct('>12s4sH')
 
 UNREADABLE_MESSAGE = Sentinel(
     name='unreadable-message',
@@ -114,6 +119,7 @@
 _DECLINED = 5
 _SUBSCRIBE = 7
 _LOAD_REPORT = 8
+_OWNER = 11
 
 
 @ENCODERS.add(Offer)
@@ -177,6 +183,7 @@
         sent,
         message.versions.configuration,
         message.versions.agents,
+        message.once,
     )
     return bytes((_SUBSCRIBE,)) + numbers
 
@@ -188,9 +195,24 @@
         idle_seconds=numbers[0],
         offers_sent=numbers[1],
         versions=Versions(configuration=numbers[2], agents=numbers[3]),
+        once=numbers[4],
     )
 
 
+@ENCODERS.add(FlowOwner)
+def _encode_owner(message: FlowOwner) -> bytes:
+    host, port = message.owner
+    return bytes((_OWNER,)) + _OWNER_FIELDS.pack(
+        message.flow, socket.inet_aton(host), port
+    )
+
+
+@DECODERS.add(_OWNER)
+def _decode_owner(datagram: bytes, _: PacketReader) -> Any:
+    flow, host, port = _OWNER_FIELDS.unpack(datagram[1:])
+    return FlowOwner(flow=flow, owner=(socket.inet_ntoa(host), port))
+
+
 @ENCODERS.add(LoadReport)
 def _encode_report(message: LoadReport) -> bytes:
     load = message.load
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -1,6 +1,7 @@
 """Define the messages between balancers and agents."""
 
 from bluebellfold.core import Message, Packet, Record, read_only
+from bluebellfold.relay.agents.agent_entry import Address
 
 # States of an upstream in a load report.
 UNKNOWN = 0
@@ -240,26 +241,50 @@
     __slots__ = ()
 
 
+class FlowOwner(FlowMessage):
+    """Name the agent whose upstream holds a flow.
+
+    A balancer tells it to the home agents of the flow, and a home agent tells
+    it to a balancer that looks the flow up.
+    """
+
+    __slots__ = ('_owner',)
+
+    owner: Address = read_only('_owner')
+
+    def __init__(self, *, flow: bytes, owner: Address) -> None:
+        super().__init__(flow=flow)
+        self._owner = owner
+
+
 class Subscribe(Message):
     """Subscribe to the load reports of an agent, or renew a subscription.
 
     ``idle_seconds`` is the time without packets after which a flow expires,
     0 if it is not known yet. ``offers_sent`` corrects the agent's count for
     offers that were lost. ``versions`` are those in force at the balancer.
+    With ``once``, the agent sends one report and none after it.
     """
 
-    __slots__ = ('_idle_seconds', '_offers_sent', '_versions')
+    __slots__ = ('_idle_seconds', '_offers_sent', '_once', '_versions')
 
     idle_seconds: float = read_only('_idle_seconds')
     offers_sent: int = read_only('_offers_sent')
+    once: bool = read_only('_once')
     versions: Versions = read_only('_versions')
 
     def __init__(
-        self, *, idle_seconds: float, offers_sent: int, versions: Versions
+        self,
+        *,
+        idle_seconds: float,
+        offers_sent: int,
+        versions: Versions,
+        once: bool = False,
     ) -> None:
         self._idle_seconds = idle_seconds
         self._offers_sent = offers_sent
         self._versions = versions
+        self._once = once
 
 
 class LoadReport(Message):
--- a/bluebellfold/relay/agents/selection.py
+++ b/bluebellfold/relay/agents/selection.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Collection, Iterable
 
 from bluebellfold.core import Record, Registry, Sentinel, read_only
-from bluebellfold.relay.agents.agent_table import Address, AgentView
+from bluebellfold.relay.agents.agent_entry import Address
+from bluebellfold.relay.agents.agent_table import AgentView
 
 DEFAULT_POLICY = 'least-work'
 # A request takes about 1.6 times as long at an upstream that is warming up.
--- a/bluebellfold/relay/agents/tests/test_selection.py
+++ b/bluebellfold/relay/agents/tests/test_selection.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from bluebellfold.relay.agents import ALL_FULL, NO_AGENT, select_agent
+from bluebellfold.relay.agents import (
+    ALL_FULL,
+    NO_AGENT,
+    AgentEntry,
+    select_agent,
+)
 from bluebellfold.relay.agents.agent_table import AgentView
 from bluebellfold.relay.tests.harness import report_of, request_stats_of
 
@@ -14,7 +19,8 @@
 def views_of(*loads):
     views = []
     for number, fields in enumerate(loads):
-        view = AgentView(address=(f'10.0.0.{number}', 1), now=NOW)
+        entry = AgentEntry(address=(f'10.0.0.{number}', 1))
+        view = AgentView(entry=entry, now=NOW)
         view.update(report_of(**fields).load, NOW)
         views.append(view)
     return views
--- a/bluebellfold/relay/balancers/subscriptions.py
+++ b/bluebellfold/relay/balancers/subscriptions.py
@@ -10,9 +10,10 @@
 class Subscription:
     """Hold when a balancer last subscribed, and the count of its offers."""
 
-    __slots__ = ('_idle_seconds', '_offers_seen', '_renewed_at')
+    __slots__ = ('_idle_seconds', '_offers_seen', '_once', '_renewed_at')
 
     def __init__(self) -> None:
+        self._once = False
         self._renewed_at = float(0)
         self._idle_seconds = float(0)
         self._offers_seen = 0
@@ -32,11 +33,17 @@
         """Return how many offers the balancer sent, lost ones included."""
         return self._offers_seen
 
+    @property
+    def is_followed(self) -> bool:
+        """Return whether the balancer gets reports without asking."""
+        return not self._once
+
     def renew(
-        self, *, idle_seconds: float, offers_sent: int, now: float
+        self, *, idle_seconds: float, offers_sent: int, once: bool, now: float
     ) -> None:
         """Renew the subscription; ``offers_sent`` includes lost offers."""
         self._renewed_at = now
+        self._once = once
         self._idle_seconds = idle_seconds
         self._offers_seen = offers_sent
 
@@ -54,8 +61,11 @@
         self._by_address: dict[Address, Subscription] = {}
 
     def __len__(self) -> int:
-        """Return the number of subscribed balancers."""
-        return len(self._by_address)
+        """Return the number of balancers that get reports without asking."""
+        return sum(
+            subscription.is_followed
+            for subscription in self._by_address.values()
+        )
 
     @property
     def idle_seconds(self) -> float:
@@ -75,15 +85,22 @@
         idle_seconds: float,
         offers_sent: int,
         now: float,
+        once: bool = False,
     ) -> bool:
-        """Add or renew a subscription, and return whether it is new."""
+        """Add or renew a subscription, and return whether it is new.
+
+        A balancer that asked ``once`` gets no report without asking again.
+        """
         subscription = self._by_address.get(address)
         is_new = subscription is None
         if subscription is None:
             subscription = Subscription()
             self._by_address[address] = subscription
         subscription.renew(
-            idle_seconds=idle_seconds, offers_sent=offers_sent, now=now
+            idle_seconds=idle_seconds,
+            offers_sent=offers_sent,
+            once=once,
+            now=now,
         )
         return is_new
 
@@ -106,10 +123,11 @@
         return None
 
     def offer_counts(self) -> list[tuple[Address, int]]:
-        """Return each balancer with its offer count."""
+        """Return each balancer that follows the agent, with its offer count."""
         return [
             (address, subscription.offers_seen)
             for address, subscription in self._by_address.items()
+            if subscription.is_followed
         ]
 
     def expire(self, now: float) -> list[Address]:
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -64,6 +64,7 @@
         self._client_socket: DatagramSocket | None = None
         self._agent_socket: DatagramSocket | None = None
         self._relay = ClientRelay(
+            identity=f'{agent_endpoint.host}:{agent_endpoint.port}',
             zone=zone,
             transport=self,
             journal=journal,
@@ -124,7 +125,7 @@
     @reactions.add(UpdateAgents)
     def _update_agents(self, message: UpdateAgents) -> None:
         self._relay.update_agents(
-            message.addresses, self._clock.now(), revision=message.revision
+            message.entries, self._clock.now(), revision=message.revision
         )
 
     @reactions.add(CheckReadiness)
--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -17,6 +17,7 @@
     Offer,
     select_agent,
 )
+from bluebellfold.relay.callers.agent_follower import AgentFollower
 from bluebellfold.relay.callers.flow_cache import Assignment, FlowCache
 from bluebellfold.relay.callers.flow_queue import (
     RETRANSMIT_SECONDS,
@@ -41,8 +42,6 @@
 # A limited offer allows the in-flight requests that the balancer counts, one
 # per slot, and this margin: one request more is no reason to decline.
 MARGIN_REQUESTS = 1
-# Backoff after an unanswered offer: about the duration of an agent restart.
-UNANSWERED_BACKOFF_SECONDS = 0.3
 # The attempt number of the second and last retransmission of an opening packet:
 # the client has had no reply for 0.6 s.
 LAST_ATTEMPT = 2
@@ -59,6 +58,7 @@
         '_agent_table',
         '_draw',
         '_flows',
+        '_follower',
         '_journal',
         '_pending_offers',
         '_policy',
@@ -73,6 +73,7 @@
         *,
         zone: str,
         agent_table: AgentTable,
+        follower: AgentFollower,
         routes: ActiveRoutes,
         flows: FlowCache,
         transport: Transport,
@@ -83,6 +84,7 @@
         self._zone = zone
         self._policy = policy
         self._agent_table = agent_table
+        self._follower = follower
         self._routes = routes
         self._flows = flows
         self._transport = transport
@@ -209,7 +211,8 @@
         )
         view = self._agent_table.find(address)
         if view is not None:
-            view.back_off_until(now + UNANSWERED_BACKOFF_SECONDS)
+            # Asked for a report at each tick until it sends one.
+            view.suspect()
         assignment.exclude(address)
         self._assign(packet, assignment, now)
 
@@ -232,6 +235,9 @@
             excluded=assignment.excluded_agents,
             policy=self._policy,
         )
+        if not selected or selected.in_flight >= selected.load.slots:
+            # Agents outside of the subset may be idle.
+            self._follower.sample(service, now)
         if not selected:
             if selected is NO_AGENT:
                 # When no agent is left, the excluded ones are allowed again.
--- a/bluebellfold/relay/callers/flow_cache.py
+++ b/bluebellfold/relay/callers/flow_cache.py
@@ -9,6 +9,11 @@
 # may have been lost.
 _FIRST_WINDOW_BYTES = 1_048_576
 _SEQUENCE_RANGE = 0x100000000
+# Flows of a single request end before this age, and home agents needn't know
+# their owners.
+LONG_FLOW_SECONDS = 1.0
+# How often the owner of a flow in use is told to its home agents again.
+REGISTRATION_SECONDS = 15.0
 
 
 class Assignment:
@@ -22,10 +27,12 @@
         '_agent',
         '_declines',
         '_excluded_agents',
+        '_has_ended',
         '_is_established',
         '_last_used_at',
         '_opened_at',
         '_opening_sequence',
+        '_registered_at',
     )
 
     def __init__(self, *, now: float) -> None:
@@ -36,6 +43,8 @@
         self._opening_sequence: int | None = None
         self._declines = 0
         self._is_established = False
+        self._has_ended = False
+        self._registered_at: float | None = None
 
     @property
     def agent(self) -> Address | None:
@@ -95,6 +104,8 @@
             self._agent = None
             self._declines = 0
             self._is_established = False
+            self._has_ended = False
+            self._registered_at = None
             self._excluded_agents.clear()
 
     def mark_established(self, sequence: int) -> bool:
@@ -114,6 +125,31 @@
         """Record that a packet of the flow passed."""
         self._last_used_at = now
 
+    def mark_ended(self) -> None:
+        """Record that the client has ended the flow."""
+        self._has_ended = True
+
+    def detect_registration_due(self, now: float) -> bool:
+        """Return whether the owner is to be told to home agents now.
+
+        A flow that was found by a lookup is established, though its opening
+        packet was never seen.
+        """
+        opening = self._opening_sequence is not None
+        if opening and not self._is_established:
+            return False
+        if self._agent is None or self._has_ended:
+            return False
+        registered_at = self._registered_at
+        if registered_at is None:
+            due = now - self._opened_at >= LONG_FLOW_SECONDS
+        else:
+            due = now - registered_at >= REGISTRATION_SECONDS
+            due = due and self._last_used_at > registered_at
+        if due:
+            self._registered_at = now
+        return due
+
 
 class FlowCache:
     """Hold assignments by flow.
@@ -149,6 +185,14 @@
         self._assignments[flow] = assignment
         return assignment
 
+    def list_unregistered(self, now: float) -> list[tuple[bytes, Address]]:
+        """Return the flows to be told to home agents now, and their owners."""
+        return [
+            (flow, assignment.agent)
+            for flow, assignment in self._assignments.items()
+            if assignment.detect_registration_due(now)
+        ]
+
     def remove(self, flow: bytes) -> None:
         """Remove a flow."""
         self._assignments.pop(flow, None)
--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -3,7 +3,8 @@
 The balancer may lose its state at any time, for instance in a restart. Flows
 survive this, because they end at the clients and the upstreams. Each agent
 knows the flows of its upstream, so the balancer asks the agents about a flow
-that it doesn't know.
+that it doesn't know: first the flow's home agents, then all. A flow is reset
+only after every agent that is alive has denied it.
 """
 
 from bluebellfold.core import Packet, format_flow
@@ -13,30 +14,48 @@
     FlowFound,
     FlowLookup,
     FlowNotFound,
+    FlowOwner,
     FlowUncertain,
     ForwardedPacket,
     ReturnedPacket,
 )
+from bluebellfold.relay.callers.agent_follower import AgentFollower
 from bluebellfold.relay.callers.flow_cache import FlowCache
+from bluebellfold.relay.callers.flow_homes import FlowHomes
 from bluebellfold.relay.callers.lookups import PendingLookup, PendingLookups
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.collectors import Journal
 
+# Up to this number of agents, all are asked at once: it costs no more than the
+# home agents do.
+MAX_DIRECT_QUERIES = 4
+
 
 class FlowForwarder:
     """Forward packets, and look up the agents of unknown flows."""
 
-    __slots__ = ('_agent_table', '_flows', '_journal', '_lookups', '_transport')
+    __slots__ = (
+        '_agent_table',
+        '_flows',
+        '_follower',
+        '_homes',
+        '_journal',
+        '_lookups',
+        '_transport',
+    )
 
     def __init__(
         self,
         *,
         agent_table: AgentTable,
+        follower: AgentFollower,
         flows: FlowCache,
         transport: Transport,
         journal: Journal,
     ) -> None:
         self._agent_table = agent_table
+        self._follower = follower
+        self._homes = FlowHomes()
         self._flows = flows
         self._transport = transport
         self._journal = journal
@@ -51,8 +70,25 @@
             self._look_up(packet, now)
             return
         assignment.touch(now)
+        if packet.finishes or packet.resets:
+            assignment.mark_ended()
+        self._follower.check_owner(view, now)
         self._transport.send_to_agent(agent, ForwardedPacket(packet=packet))
 
+    def update_homes(self) -> None:
+        """Take the home agents of flows from the new list of agents."""
+        self._homes.update(view.entry for view in self._agent_table.views)
+
+    def register_owners(self, now: float) -> None:
+        """Tell the owners of long flows to the home agents of the flows."""
+        if len(self._agent_table) <= MAX_DIRECT_QUERIES:
+            return
+        for flow, owner in self._flows.list_unregistered(now):
+            for home in self._homes.find(flow):
+                self._transport.send_to_agent(
+                    home, FlowOwner(flow=flow, owner=owner)
+                )
+
     def handle_returned_packet(
         self,
         message: ReturnedPacket,
@@ -70,12 +106,12 @@
             return
         lookup = self._lookups.find(packet.flow)
         if lookup is None:
-            lookup = self._start_lookup(packet, now)
+            # The home agents would name the agent that has just denied.
+            lookup = self._start_lookup(packet, now, at_homes=False)
         elif packet not in lookup.queued_packets:
             lookup.enqueue(packet)
         lookup.record_not_found(address)
-        if agents_complete:
-            self._reset_if_not_found(packet.flow, lookup, now)
+        self._conclude(packet.flow, lookup, now, complete=agents_complete)
 
     def handle_not_found(
         self,
@@ -90,8 +126,24 @@
         if lookup is None or not self._accept_not_found(message.flow, address):
             return
         lookup.record_not_found(address)
-        if agents_complete:
-            self._reset_if_not_found(message.flow, lookup, now)
+        self._conclude(message.flow, lookup, now, complete=agents_complete)
+
+    def handle_owner(
+        self, message: FlowOwner, address: Address, now: float
+    ) -> None:
+        """Forward a flow's packets to the owner that a home agent names."""
+        lookup = self._lookups.find(message.flow)
+        if lookup is None:
+            return
+        lookup.record_not_found(address)
+        owner = message.owner
+        view = self._agent_table.find(owner)
+        usable = view is not None and not view.is_presumed_dead(now)
+        if not usable or lookup.has_denied(owner):
+            self._conclude(message.flow, lookup, now, complete=False)
+            return
+        self._journal.count('flows-found-at-home')
+        self._assign_owner(message.flow, owner, now)
 
     def handle_uncertain(
         self, message: FlowUncertain, address: Address
@@ -105,20 +157,15 @@
         self, message: FlowFound, address: Address, now: float
     ) -> None:
         """Assign a flow to the agent that holds it; forward its packets."""
-        flow = message.flow
-        assignment = self._flows.find_or_add(flow, now)
-        assignment.assign(address)
-        assignment.touch(now)
-        for packet in self._lookups.end(flow):
-            self._transport.send_to_agent(
-                address, ForwardedPacket(packet=packet)
-            )
-        self._journal.count('flows-found')
-        self._journal.log('BBF0705', flow=format_flow(flow), agent=address[0])
+        self._assign_owner(message.flow, address, now)
 
     def tick(self, now: float) -> None:
-        """Probe uncertain agents with a packet of the flow."""
-        for lookup in self._lookups.list_pending():
+        """Ask all agents after the home agents, and probe uncertain agents."""
+        for flow, lookup in self._lookups.list_pending():
+            if lookup.homes_failed(now):
+                self._query_all_agents(flow, lookup, now)
+            if lookup.asks_homes:
+                continue
             for address in lookup.pop_uncertain(now):
                 self._transport.send_to_agent(
                     address, ForwardedPacket(packet=lookup.queued_packets[0])
@@ -128,6 +175,17 @@
         """Remove lookups that have timed out."""
         self._lookups.expire(now)
 
+    def _assign_owner(self, flow: bytes, address: Address, now: float) -> None:
+        assignment = self._flows.find_or_add(flow, now)
+        assignment.assign(address)
+        assignment.touch(now)
+        for packet in self._lookups.end(flow):
+            self._transport.send_to_agent(
+                address, ForwardedPacket(packet=packet)
+            )
+        self._journal.count('flows-found')
+        self._journal.log('BBF0705', flow=format_flow(flow), agent=address[0])
+
     def _accept_not_found(self, flow: bytes, address: Address) -> bool:
         # Unassigns the agent if it is the cached one. Returns false if another
         # agent is known to hold the flow.
@@ -142,23 +200,56 @@
     def _look_up(self, packet: Packet, now: float) -> None:
         lookup = self._lookups.find(packet.flow)
         if lookup is None or lookup.is_expired(now):
-            self._start_lookup(packet, now)
+            self._start_lookup(packet, now, at_homes=lookup is None)
             return
         lookup.enqueue(packet)
         if lookup.detect_repeat_due(now):
-            self._query_all_agents(packet)
+            self._query_all_agents(packet.flow, lookup, now)
 
-    def _start_lookup(self, packet: Packet, now: float) -> PendingLookup:
+    def _start_lookup(
+        self, packet: Packet, now: float, *, at_homes: bool
+    ) -> PendingLookup:
         self._journal.count('flows-sought')
         lookup = self._lookups.start(packet.flow, now)
         lookup.enqueue(packet)
-        self._query_all_agents(packet)
+        homes = self._find_homes(packet.flow, now) if at_homes else ()
+        if not homes:
+            self._query_all_agents(packet.flow, lookup, now)
+            return lookup
+        lookup.begin_at_homes(homes)
+        query = FlowLookup(flow=packet.flow, acknowledged=packet.acknowledged)
+        for address in homes:
+            self._transport.send_to_agent(address, query)
         return lookup
 
-    def _query_all_agents(self, packet: Packet) -> None:
-        query = FlowLookup(flow=packet.flow, acknowledged=packet.acknowledged)
+    def _find_homes(self, flow: bytes, now: float) -> tuple[Address, ...]:
+        if len(self._agent_table) <= MAX_DIRECT_QUERIES:
+            return ()
+        return tuple(
+            home
+            for home in self._homes.find(flow)
+            if not self._agent_table.find(home).is_presumed_dead(now)
+        )
+
+    def _query_all_agents(
+        self, flow: bytes, lookup: PendingLookup, now: float
+    ) -> None:
+        lookup.extend_to_all(now)
+        self._journal.count('flows-sought-at-all')
+        query = FlowLookup(flow=flow, acknowledged=lookup.acknowledged)
         for view in self._agent_table.views:
-            self._transport.send_to_agent(view.address, query)
+            if not lookup.has_denied(view.address):
+                self._agent_table.expect_message(view, now)
+                self._transport.send_to_agent(view.address, query)
+
+    def _conclude(
+        self, flow: bytes, lookup: PendingLookup, now: float, *, complete: bool
+    ) -> None:
+        """Go on after a denial: ask all agents, or reset the flow."""
+        if lookup.homes_failed(now):
+            self._query_all_agents(flow, lookup, now)
+        elif complete and not lookup.asks_homes:
+            self._reset_if_not_found(flow, lookup, now)
 
     def _reset_if_not_found(
         self, flow: bytes, lookup: PendingLookup, now: float
--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -1,10 +1,11 @@
 """Look up the agent of a flow that a balancer doesn't know.
 
 After a balancer fails, joins or restarts, the fabric routes packets of
-established flows to balancers that don't know them. Each agent knows the
-flows of its upstream, so the balancer queries all agents with a few bytes
-each. Sending the packets themselves to every agent would saturate a link of
-low bandwidth.
+established flows to balancers that don't know them. The balancer asks the home
+agents of the flow, which other balancers have told its owner. Each agent knows
+the flows of its own upstream, so if the homes can't tell, the balancer queries
+all agents with a few bytes each. Sending the packets themselves to every agent
+would saturate a link of low bandwidth.
 """
 
 from collections.abc import Collection
@@ -19,6 +20,9 @@
 # An agent that has just restarted doesn't know its flows. Its upstream is
 # probed once the other agents have had time to answer.
 PROBE_DELAY_SECONDS = 0.03
+# All agents are queried if no home agent has named the owner by then: several
+# round trips between zones.
+HOME_TIMEOUT_SECONDS = 0.03
 # A client has at most 16 packets in flight.
 MAX_QUEUED_PACKETS = 16
 # The next packet of the flow then starts a new lookup.
@@ -29,6 +33,7 @@
     """Hold the agents' answers about one flow, and its queued packets."""
 
     __slots__ = (
+        '_homes',
         '_not_found',
         '_queried_at',
         '_queued_packets',
@@ -37,6 +42,7 @@
     )
 
     def __init__(self, *, now: float) -> None:
+        self._homes: tuple[Address, ...] = ()
         self._started_at = now
         self._queried_at = now
         self._not_found: set[Address] = set()
@@ -48,6 +54,32 @@
         """Return the packets to forward to the owner."""
         return self._queued_packets
 
+    @property
+    def acknowledged(self) -> int:
+        """Return the acknowledgement number of the first queued packet."""
+        return self._queued_packets[0].acknowledged
+
+    @property
+    def asks_homes(self) -> bool:
+        """Return whether only the home agents have been queried."""
+        return bool(self._homes)
+
+    def begin_at_homes(self, homes: tuple[Address, ...]) -> None:
+        """Record that only the home agents are queried so far."""
+        self._homes = homes
+
+    def extend_to_all(self, now: float) -> None:
+        """Record that all agents are queried now."""
+        self._homes = ()
+        self._queried_at = now
+
+    def homes_failed(self, now: float) -> bool:
+        """Return whether the home agents don't know the owner, or are late."""
+        if not self._homes:
+            return False
+        late = now - self._queried_at >= HOME_TIMEOUT_SECONDS
+        return late or self._not_found.issuperset(self._homes)
+
     def is_expired(self, now: float) -> bool:
         """Return whether the lookup has timed out."""
         return now - self._started_at > LOOKUP_TIMEOUT_SECONDS
@@ -74,6 +106,10 @@
         if agent not in self._not_found:
             self._uncertain.add(agent)
 
+    def has_denied(self, agent: Address) -> bool:
+        """Return whether an agent has reported that it lacks the flow."""
+        return agent in self._not_found
+
     def is_not_found_at(self, agents: Collection[Address]) -> bool:
         """Return whether all the agents report that they lack the flow."""
         return self._not_found.issuperset(agents)
@@ -114,9 +150,9 @@
         lookup = self._by_flow.pop(flow, None)
         return () if lookup is None else tuple(lookup.queued_packets)
 
-    def list_pending(self) -> tuple[PendingLookup, ...]:
-        """Return all lookups."""
-        return tuple(self._by_flow.values())
+    def list_pending(self) -> tuple[tuple[bytes, PendingLookup], ...]:
+        """Return all lookups with their flows."""
+        return tuple(self._by_flow.items())
 
     def expire(self, now: float) -> int:
         """Remove lookups that have timed out, and return how many."""
--- a/bluebellfold/relay/callers/messages.py
+++ b/bluebellfold/relay/callers/messages.py
@@ -1,7 +1,7 @@
 """Define the messages that the client actor receives and sends."""
 
 from bluebellfold.core import Message, Reply, RoutingTable, read_only
-from bluebellfold.relay.agents import Address
+from bluebellfold.relay.agents import AgentEntry
 
 
 class UpdateRoutes(Message):
@@ -29,15 +29,15 @@
 class UpdateAgents(Message):
     """Replace the list of agents by the given revision of the list."""
 
-    __slots__ = ('_addresses', '_revision')
+    __slots__ = ('_entries', '_revision')
 
-    addresses: tuple[Address, ...] = read_only('_addresses')
+    entries: tuple[AgentEntry, ...] = read_only('_entries')
     revision: int = read_only('_revision')
 
     def __init__(
-        self, *, addresses: tuple[Address, ...], revision: int
+        self, *, entries: tuple[AgentEntry, ...], revision: int
     ) -> None:
-        self._addresses = addresses
+        self._entries = entries
         self._revision = revision
 
 
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -10,26 +10,27 @@
 from bluebellfold.relay.agents import (
     DEFAULT_POLICY,
     Address,
+    AgentEntry,
     AgentTable,
     AgentView,
     Declined,
     FlowFound,
     FlowNotFound,
+    FlowOwner,
     FlowUncertain,
     LoadReport,
     ReturnedPacket,
-    Subscribe,
-    Versions,
 )
 from bluebellfold.relay.callers.admission import FlowAdmission
+from bluebellfold.relay.callers.agent_follower import AgentFollower
 from bluebellfold.relay.callers.flow_cache import FlowCache
 from bluebellfold.relay.callers.forwarding import FlowForwarder
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.versions import ActiveRoutes, NewestVersion
 from bluebellfold.relay.collectors import Journal
 
-# A subscription lasts 2 s: two renewals may be lost.
-SUBSCRIBE_INTERVAL_SECONDS = 0.6
+# How often the owners of long flows are told to their home agents.
+REGISTER_INTERVAL_SECONDS = 1.0
 # How often idle flows and expired lookups are removed.
 SWEEP_INTERVAL_SECONDS = 5.0
 # The process ticks every 0.05 s. After a gap of this length it was paused, and
@@ -44,8 +45,8 @@
 class ClientRelay:
     """Assign new flows to agents, and forward packets of established ones.
 
-    ``draw`` returns a random number in [0, 1). Methods take ``now`` in seconds
-    of a monotonic clock.
+    ``identity`` differs between balancers. ``draw`` returns a random number in
+    [0, 1). Methods take ``now`` in seconds of a monotonic clock.
     """
 
     __slots__ = (
@@ -53,12 +54,13 @@
         '_agent_table',
         '_agents_revision',
         '_flows',
+        '_follower',
         '_forwarder',
         '_journal',
         '_last_run_at',
         '_newest_agents_revision',
+        '_register_due',
         '_routes',
-        '_subscribe_due',
         '_sweep_due',
         '_transport',
     )
@@ -66,6 +68,7 @@
     def __init__(
         self,
         *,
+        identity: str,
         zone: str,
         transport: Transport,
         journal: Journal,
@@ -79,8 +82,17 @@
         self._agents_revision = 0
         self._newest_agents_revision = NewestVersion()
         self._flows = FlowCache()
+        self._follower = AgentFollower(
+            identity=identity,
+            zone=zone,
+            agent_table=self._agent_table,
+            routes=self._routes,
+            transport=transport,
+            draw=draw,
+        )
         self._forwarder = FlowForwarder(
             agent_table=self._agent_table,
+            follower=self._follower,
             flows=self._flows,
             transport=transport,
             journal=journal,
@@ -88,6 +100,7 @@
         self._admission = FlowAdmission(
             zone=zone,
             agent_table=self._agent_table,
+            follower=self._follower,
             routes=self._routes,
             flows=self._flows,
             transport=transport,
@@ -95,7 +108,7 @@
             draw=draw,
             policy=policy,
         )
-        self._subscribe_due = float(0)
+        self._register_due = float(0)
         self._sweep_due = float(0)
         self._last_run_at = float(0)
 
@@ -118,7 +131,7 @@
         """Return whether routes are loaded and an agent is live."""
         if not self._routes.are_loaded:
             return False
-        return any(view.is_live(now) for view in self._agent_table.views)
+        return self._agent_table.has_live(now)
 
     def routes_outdated(self, now: float) -> bool:
         """Return whether the configuration has been outdated for too long."""
@@ -133,7 +146,7 @@
         version_before = self._routes.version
         if not self._routes.update(routes):
             return False
-        self._subscribe_due = now
+        self._follower.renew_at_once(now)
         self._journal.log(
             'BBF0707',
             version=routes.version,
@@ -147,13 +160,13 @@
         self._routes.set_fresh(fresh=fresh)
 
     def update_agents(
-        self, addresses: Iterable[Address], now: float, *, revision: int = 0
+        self, entries: Iterable[AgentEntry], now: float, *, revision: int = 0
     ) -> None:
         """Replace the list of agents by the given revision of the list."""
         self._agents_revision = revision
-        change = self._agent_table.update_addresses(addresses, now)
-        for address in change.added:
-            self._subscribe(self._agent_table.find(address))
+        change = self._follower.update_agents(entries, now, revision=revision)
+        if change.added or change.removed:
+            self._forwarder.update_homes()
         if change.added or change.removed:
             self._journal.log(
                 'BBF0708',
@@ -183,7 +196,7 @@
         self._detect_pause(now)
         self._admission.tick(now)
         self._forwarder.tick(now)
-        for view in self._agent_table.views:
+        for view in self._agent_table.followed:
             if view.detect_unreachable(now):
                 self._journal.log(
                     'BBF0711',
@@ -192,7 +205,10 @@
                         view.report_age_seconds(now) * MS_PER_SECOND
                     ),
                 )
-        self._renew_subscriptions(now)
+        self._follower.tick(now)
+        if now >= self._register_due:
+            self._register_due = now + REGISTER_INTERVAL_SECONDS
+            self._forwarder.register_owners(now)
         if now < self._sweep_due:
             return
         self._sweep_due = now + SWEEP_INTERVAL_SECONDS
@@ -210,7 +226,7 @@
         load = message.load
         was_live = view.is_live(now)
         state_before = view.load.state if view.load else None
-        if not view.update(load, now):
+        if not self._agent_table.update_load(address, load, now):
             return
         if not was_live or state_before != load.state:
             self._log_agent_state(view, was_live=was_live)
@@ -222,6 +238,7 @@
     def _handle_decline(
         self, message: Declined, address: Address, now: float
     ) -> None:
+        self._agent_table.mark_heard(address, now)
         self._admission.handle_decline(message, address, now)
 
     @handle_message.register
@@ -229,6 +246,7 @@
         self, message: ReturnedPacket, address: Address, now: float
     ) -> None:
         self._detect_pause(now)
+        self._agent_table.mark_heard(address, now)
         complete = self._agents_complete
         self._forwarder.handle_returned_packet(
             message, address, now, agents_complete=complete
@@ -239,6 +257,7 @@
         self, message: FlowNotFound, address: Address, now: float
     ) -> None:
         self._detect_pause(now)
+        self._agent_table.mark_heard(address, now)
         complete = self._agents_complete
         self._forwarder.handle_not_found(
             message, address, now, agents_complete=complete
@@ -248,14 +267,23 @@
     def _handle_uncertain(
         self, message: FlowUncertain, address: Address, now: float
     ) -> None:
+        self._agent_table.mark_heard(address, now)
         self._forwarder.handle_uncertain(message, address)
 
     @handle_message.register
     def _handle_found(
         self, message: FlowFound, address: Address, now: float
     ) -> None:
+        self._agent_table.mark_heard(address, now)
         self._forwarder.handle_found(message, address, now)
 
+    @handle_message.register
+    def _handle_owner(
+        self, message: FlowOwner, address: Address, now: float
+    ) -> None:
+        self._agent_table.mark_heard(address, now)
+        self._forwarder.handle_owner(message, address, now)
+
     @property
     def _agents_complete(self) -> bool:
         # An agent that only other balancers know may hold a flow that no known
@@ -272,29 +300,6 @@
         self._agent_table.extend_report_deadlines(now)
         self._journal.log('BBF0741', paused_ms=round(paused * MS_PER_SECOND))
 
-    def _renew_subscriptions(self, now: float) -> None:
-        all_due = now >= self._subscribe_due
-        if all_due:
-            self._subscribe_due = now + SUBSCRIBE_INTERVAL_SECONDS
-        for view in self._agent_table.views:
-            # An agent that starts is subscribed to within a tick instead of at
-            # the next renewal.
-            if all_due or not view.is_live(now):
-                self._subscribe(view)
-
-    def _subscribe(self, view: AgentView) -> None:
-        self._transport.send_to_agent(
-            view.address,
-            Subscribe(
-                idle_seconds=self._routes.table.idle_seconds,
-                offers_sent=view.offers_sent,
-                versions=Versions(
-                    configuration=self._routes.version,
-                    agents=self._agents_revision,
-                ),
-            ),
-        )
-
     def _log_agent_state(self, view: AgentView, *, was_live: bool) -> None:
         self._journal.log(
             'BBF0709',
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -107,9 +107,7 @@
     assert not balancer.transport.resets
     balancer.advance(0.4)
     assert balancer.relay.agents_outdated(balancer.now)
-    balancer.relay.update_agents(
-        (FIRST, SECOND, THIRD), balancer.now, revision=7
-    )
+    balancer.list_agents((FIRST, SECOND, THIRD), revision=7)
     assert not balancer.relay.agents_outdated(balancer.now)
     balancer.receive_packet(DATA)
     assert THIRD in [
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -20,7 +20,7 @@
     StoredObject,
     StoreError,
 )
-from bluebellfold.relay.agents import Address
+from bluebellfold.relay.agents import AgentEntry
 from bluebellfold.relay.callers import UpdateAgents
 from bluebellfold.relay.store.watching import KindWatch
 
@@ -36,7 +36,7 @@
 
 
 class AgentWatch(KindWatch):
-    """Report the addresses of all agents to the actor that serves clients."""
+    """Report the entries of all agents to the actor that serves clients."""
 
     reactions = Registry(
         name='reactions of the watch of agents', base=KindWatch.reactions
@@ -50,35 +50,38 @@
             wait_seconds=WAIT_SECONDS,
         )
         self._actor = actor
-        self._addresses: dict[str, Address] = {}
+        self._entries: dict[str, AgentEntry] = {}
         self._newest_revision = 0
 
     def replace_all(self, changes: Changes) -> None:
-        """Replace the known addresses by the listed ones, and report them."""
-        self._addresses = {}
+        """Replace the known entries by the listed ones, and report them."""
+        self._entries = {}
         self.apply(changes)
 
     def apply(self, changes: Changes) -> None:
-        """Apply written and deleted entries, and report all addresses."""
+        """Apply written and deleted entries, and report all of them."""
         for change in changes.changes:
             name = change.stored.name
             if change.deleted:
-                self._addresses.pop(name, None)
+                self._entries.pop(name, None)
                 continue
-            address = _decode_address(change.stored.spec)
-            if address is None:
+            entry = _decode_entry(change.stored.spec)
+            if entry is None:
                 log_event(_log, 'BBF0732', object_name=name)
                 continue
-            self._addresses[name] = address
+            self._entries[name] = entry
             # The revision of the agent that was written last. All balancers
             # that know this agent compute the same number, whenever they read
             # the list.
             self._newest_revision = max(
                 self._newest_revision, change.stored.revision
             )
-        listed = tuple(sorted(set(self._addresses.values())))
+        by_address = {entry.address: entry for entry in self._entries.values()}
         self._actor.tell(
-            UpdateAgents(addresses=listed, revision=self._newest_revision),
+            UpdateAgents(
+                entries=tuple(by_address[key] for key in sorted(by_address)),
+                revision=self._newest_revision,
+            ),
         )
 
 
@@ -87,10 +90,10 @@
 
     reactions = Registry(name='reactions of the registrar')
 
-    def __init__(self, *, endpoint: Endpoint, address: Address) -> None:
+    def __init__(self, *, endpoint: Endpoint, entry: AgentEntry) -> None:
         super().__init__(name='registrar')
         self._client = ObjectStoreClient(endpoint=endpoint)
-        self._address = address
+        self._entry = entry
         self._backoff = _create_backoff()
 
     async def open(self) -> None:
@@ -104,7 +107,7 @@
 
     async def deregister(self) -> None:
         """Delete the object; keep it if the store is unreachable."""
-        name = self._address[0]
+        name = self._entry.address[0]
         try:
             await self._delete_object(name)
         except StoreError as error:
@@ -133,8 +136,13 @@
         # The name is the address of this machine, so an existing object was
         # written by an earlier incarnation of the agent. It is replaced only if
         # it differs.
-        name = self._address[0]
-        spec = {'host': name, 'port': self._address[1]}
+        name, port = self._entry.address
+        spec = {
+            'host': name,
+            'port': port,
+            'service': self._entry.service,
+            'zone': self._entry.zone,
+        }
         if await self._client.create(AGENTS_KIND, name, spec):
             return
         stored = await self._client.read(AGENTS_KIND, name)
@@ -145,17 +153,23 @@
             )
 
 
-def _decode_address(spec: Any) -> Address | None:
+def _decode_entry(spec: Any) -> AgentEntry | None:
     if not isinstance(spec, dict):
         return None
     host = spec.get('host')
     port = spec.get('port')
-    if not isinstance(port, int) or not 0 < port <= MAX_PORT:
+    if isinstance(port, bool) or not isinstance(port, int):
+        return None
+    if not isinstance(host, str) or not 0 < port <= MAX_PORT:
+        return None
+    labels = spec.get('service', ''), spec.get('zone', '')
+    if not all(isinstance(label, str) for label in labels):
         return None
     try:
-        return (str(ipaddress.IPv4Address(host)), port)
+        address = (str(ipaddress.IPv4Address(host)), port)
     except ValueError:
         return None
+    return AgentEntry(address=address, service=labels[0], zone=labels[1])
 
 
 def _create_backoff() -> Backoff:
--- a/bluebellfold/relay/store/tests/test_agents.py
+++ b/bluebellfold/relay/store/tests/test_agents.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bluebellfold.core import Actor, Registry, Stop
+from bluebellfold.relay.agents import AgentEntry
 from bluebellfold.relay.callers import UpdateAgents
 from bluebellfold.relay.store import (
     AGENTS_KIND,
@@ -35,7 +36,8 @@
             while True:
                 message = await self.received.get()
                 assert isinstance(message, UpdateAgents)
-                if message.addresses == tuple(wanted):
+                listed = [entry.address for entry in message.entries]
+                if listed == wanted:
                     return message
 
 
@@ -58,7 +60,10 @@
 
 
 async def register(standin, address):
-    registrar = AgentRegistrar(endpoint=standin.endpoint, address=address)
+    registrar = AgentRegistrar(
+        endpoint=standin.endpoint,
+        entry=AgentEntry(address=address, service='counter', zone='a'),
+    )
     running = asyncio.create_task(registrar.run())
     async with asyncio.timeout(5):
         while address[0] not in standin.store.names(AGENTS_KIND):
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -15,6 +15,7 @@
 from bluebellfold.platform import decode_client_packet
 from bluebellfold.relay.agents import (
     READY,
+    AgentEntry,
     AgentLoad,
     LoadReport,
     RequestStats,
@@ -175,6 +176,7 @@
         self.clock = ManualClock(start=100)
         self.transport = ClientTransport()
         self.relay = ClientRelay(
+            identity='10.1.0.1:7720',
             zone=ZONE,
             transport=self.transport,
             journal=journal_of(self.clock),
@@ -185,12 +187,22 @@
             routes = table_of(route_to())
         if routes is not NO_ROUTES:
             self.relay.update_routes(routes, now=self.now)
-        self.relay.update_agents(agents, self.now)
+        self.list_agents(agents)
 
     @property
     def now(self):
         return self.clock.now()
 
+    def list_agents(self, agents, *, revision=0):
+        """Update the list of agents, given by their addresses or entries."""
+        entries = [
+            agent
+            if isinstance(agent, AgentEntry)
+            else AgentEntry(address=agent)
+            for agent in agents
+        ]
+        self.relay.update_agents(entries, self.now, revision=revision)
+
     def receive_message(self, address, message):
         self.relay.handle_message(message, address, self.now)
 
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -10,10 +10,13 @@
     FlowLookup,
     FlowMessage,
     FlowNotFound,
+    FlowOwner,
     FlowUncertain,
     ReturnedPacket,
 )
+from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.upstreams.flow_directory import FlowDirectory
 from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.flows import (
     ANSWERED,
@@ -33,6 +36,7 @@
     """Forward packets between balancers, the upstream and clients."""
 
     __slots__ = (
+        '_directory',
         '_flows',
         '_health',
         '_journal',
@@ -58,6 +62,7 @@
         self._performance = performance
         self._transport = transport
         self._journal = journal
+        self._directory = FlowDirectory()
         # Packets of unknown flows that were sent to the upstream, by flow and
         # balancer. The upstream's reply shows whether it holds the flow.
         self._probes: dict[bytes, dict[Address, Packet]] = {}
@@ -72,7 +77,13 @@
             message.acknowledged
         ):
             reply_type = FlowFound
-        elif flow is None and not self._has_no_unknown_flows(now):
+        owner = self._directory.find(message.flow)
+        if owner is not None and flow is None:
+            self._transport.send_to_balancer(
+                address, FlowOwner(flow=message.flow, owner=owner)
+            )
+            return
+        if flow is None and not self._has_no_unknown_flows(now):
             reply_type = FlowUncertain
         self._transport.send_to_balancer(address, reply_type(flow=message.flow))
 
@@ -112,6 +123,14 @@
         self._track_upstream_packet(packet, flow, now)
         self._transport.send_to_client(packet)
 
+    def record_owner(self, message: FlowOwner, now: float) -> None:
+        """Remember the owner of a flow whose home is this agent."""
+        self._directory.record(message.flow, message.owner, now)
+
+    def expire_owners(self, now: float) -> None:
+        """Remove the owners of flows that balancers no longer repeat."""
+        self._directory.expire(now)
+
     def forget_probes(self) -> None:
         """Forget which packets of unknown flows were sent to the upstream."""
         self._probes.clear()
@@ -136,6 +155,8 @@
         balancer = self._reporter.subscriptions.find_by_tag(packet.tag)
         if balancer is None and flow is not None:
             balancer = flow.balancer
+        if balancer is None:
+            balancer = self._find_prober(packet)
         self._probes.pop(packet.flow, None)
         if flow is not None:
             self._flows.remove(packet.flow)
@@ -161,6 +182,13 @@
         )
         self._transport.reset_client(packet)
 
+    def _find_prober(self, packet: Packet) -> Address | None:
+        """Return the balancer whose probe was returned, None if unknown."""
+        for address in self._probes.get(packet.flow, {}):
+            if balancer_tag(address) == packet.tag:
+                return address
+        return None
+
     def _return_packet(self, packet: Packet, address: Address) -> None:
         self._transport.send_to_balancer(address, ReturnedPacket(packet=packet))
 
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -150,6 +150,7 @@
             address,
             idle_seconds=message.idle_seconds,
             offers_sent=message.offers_sent,
+            once=message.once,
             now=now,
         )
         # Reports carry these to balancers whose watch has missed a change.
@@ -160,7 +161,8 @@
         )
         if is_new:
             self._journal.log('BBF0726', balancer=address[0], subscribed=True)
-            self.report(now)
+        if is_new or message.once:
+            self.report_to(address, now)
         if message.idle_seconds:
             # Flows without a packet have expired after the idle time, so the
             # table is complete once the agent has watched for that long. A
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -11,6 +11,7 @@
 from bluebellfold.relay.agents import (
     Address,
     FlowLookup,
+    FlowOwner,
     ForwardedPacket,
     Offer,
     Subscribe,
@@ -217,6 +218,12 @@
     ) -> None:
         self._forwarder.handle_lookup(message, address, now)
 
+    @handle_message.register
+    def _handle_owner(
+        self, message: FlowOwner, address: Address, now: float
+    ) -> None:
+        self._forwarder.record_owner(message, now)
+
     def _compare_starts(self, announcement: Announcement, now: float) -> None:
         """Mark the flow table complete if the upstream started later."""
         started_later = self._agent_start.precedes(announcement, now)
@@ -243,4 +250,5 @@
             half_open_before=now - HALF_OPEN_SECONDS,
         )
         self._forwarder.forget_probes()
+        self._forwarder.expire_owners(now)
         self._reporter.expire(now)
