Bound what is read, and start tasks again that a process depends on

Cause, seen by calling the decoders on: a deeply nested entry in a list or watch of the store raised RecursionError, a huge revision OverflowError, a missing meta KeyError. None is a StoreError, so the watch's task ended and was never started again, and the good entries of the page were lost.

Change: platform/json_reader.py reads JSON within bounds of depth and digits, cuts only the odd part, and checks texts and ranges. An object without a readable name is left out; one whose content turns odd keeps its agent, since only a deletion tells of a departure; each is logged once. Datagrams between our processes are checked for range.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -9,13 +9,13 @@
 register(
     number='BBF0001',
     level=logging.ERROR,
-    meaning='an actor failed to handle a message and continues',
+    meaning='an actor failed to handle a message or a timer and continues',
     remedy='report it with the exception in the log line',
 )
 register(
     number='BBF0002',
     level=logging.ERROR,
-    meaning='a child task ended with an exception',
+    meaning='a task failed; a task that the process needs starts again',
     remedy='report it with the exception in the log line',
 )
 register(
--- a/bluebellfold/core/actor.py
+++ b/bluebellfold/core/actor.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
+from random import Random
 from typing import Any
 
+from bluebellfold.core.backoff import Backoff
 from bluebellfold.core.errors import InboxFullError
 from bluebellfold.core.record import Record
 from bluebellfold.core.registry import Registry
 
 INBOX_MESSAGES = 10_000
 REPLY_TIMEOUT_SECONDS = 5.0
+# Longest pause before a failed child task is started again.
+RESTART_CAP_SECONDS = 1.0
 
 _log = logging.getLogger(__name__)
 
@@ -69,6 +73,7 @@
         self._name = name
         self._inbox: asyncio.Queue[Message] = asyncio.Queue(inbox_messages)
         self._children: set[asyncio.Task[None]] = set()
+        self._failed_steps = 0
 
     @property
     def name(self) -> str:
@@ -111,10 +116,71 @@
         child.add_done_callback(self._child_finished)
         return child
 
+    def supervise(
+        self,
+        run: Callable[[], Awaitable[None]],
+        *,
+        name: str,
+        failed: Callable[[], None] | None = None,
+    ) -> asyncio.Task[None]:
+        """Start a child task that is started again if it fails.
+
+        ``failed`` is called after each failure.
+        """
+        return self.spawn(self._restart(run, name, failed), name=name)
+
+    def guard(self, step: Callable[..., None], *arguments: Any) -> None:
+        """Run a step of a socket or timer callback; log if it fails.
+
+        The other packets and timers depend on the actor, so that none of them
+        may end its callbacks. The first failure is logged, then the second,
+        the fourth and so on.
+        """
+        try:
+            step(*arguments)
+        except Exception:
+            self._failed_steps += 1
+            if self._failed_steps.bit_count() == 1:
+                _log.exception(
+                    'step failed',
+                    extra={
+                        'event': 'BBF0001',
+                        'actor': self._name,
+                        'step': getattr(step, '__name__', ''),
+                        'failures': self._failed_steps,
+                    },
+                )
+
     def handle_message(self, message: Message) -> None:
         """Call the reaction that is registered for the message's type."""
         self.reactions.find(type(message))(self, message)
 
+    async def _restart(
+        self,
+        run: Callable[[], Awaitable[None]],
+        name: str,
+        failed: Callable[[], None] | None,
+    ) -> None:
+        backoff = Backoff(randomness=Random(), cap_seconds=RESTART_CAP_SECONDS)
+        failures = 0
+        while True:
+            # Whatever ends the task, the process depends on it.
+            try:
+                return await run()
+            except Exception:
+                _log.exception(
+                    'child task failed and is started again',
+                    extra={
+                        'event': 'BBF0002',
+                        'actor': f'{self._name}/{name}',
+                        'failures': failures,
+                    },
+                )
+            if failed is not None:
+                failed()
+            await asyncio.sleep(backoff.delay_seconds(failures))
+            failures += 1
+
     async def _process_inbox(self) -> None:
         while True:
             message = await self._inbox.get()
--- a/bluebellfold/core/tests/test_actor.py
+++ b/bluebellfold/core/tests/test_actor.py
@@ -84,3 +84,57 @@
 def test_unknown_key_error_names_the_registry():
     with pytest.raises(UnknownEntryError, match='nothing has no entry'):
         Registry(name='nothing').find('x')
+
+
+def test_supervised_task_is_started_again_until_it_succeeds():
+    # A task of a watch ended with an error of another type than expected, and
+    # no change was ever seen again.
+    async def scenario():
+        adder = Adder()
+        outcomes = iter((RecursionError, OverflowError, None))
+        failures = []
+        done = asyncio.Event()
+
+        async def run():
+            outcome = next(outcomes)
+            if outcome is not None:
+                raise outcome
+            done.set()
+
+        adder.supervise(run, name='watch', failed=lambda: failures.append(1))
+        async with asyncio.timeout(5):
+            await done.wait()
+        assert len(failures) == 2
+        await adder.close()
+
+    asyncio.run(scenario())
+
+
+def test_supervised_task_ends_with_its_actor():
+    async def scenario():
+        adder = Adder()
+
+        async def run():
+            raise ValueError
+
+        task = adder.supervise(run, name='watch')
+        await asyncio.sleep(0)
+        await adder.close()
+        await asyncio.wait([task], timeout=5)
+        assert task.cancelled()
+
+    asyncio.run(scenario())
+
+
+def test_failed_step_ends_nothing_and_is_logged_less_and_less(caplog):
+    async def scenario():
+        adder = Adder()
+
+        def fail():
+            raise ZeroDivisionError
+
+        for _ in range(100):
+            adder.guard(fail)
+
+    asyncio.run(scenario())
+    assert len(caplog.records) == 7
--- a/bluebellfold/daemons/relaying.py
+++ b/bluebellfold/daemons/relaying.py
@@ -76,7 +76,7 @@
         self._install_signal_handlers()
         main_task = asyncio.create_task(self._main_actor.run(), name='front')
         helper_tasks = [
-            asyncio.create_task(helper.run(), name=helper.name)
+            self._main_actor.supervise(helper.run, name=helper.name)
             for helper in self._helpers
         ]
         await asyncio.gather(*(server.start() for server in self._servers))
--- a/bluebellfold/platform/__init__.py
+++ b/bluebellfold/platform/__init__.py
@@ -12,6 +12,12 @@
     ReadinessCall,
     decode_call,
 )
+from bluebellfold.platform.json_reader import (
+    is_integer,
+    is_number,
+    is_text,
+    read_json,
+)
 from bluebellfold.platform.objects import (
     HISTORY_GONE,
     MISSING_OBJECT,
@@ -35,13 +41,18 @@
     UNREADABLE_CONFIGURATION,
     decode_routing,
 )
-from bluebellfold.platform.stored_object import Changes, StoredObject
+from bluebellfold.platform.stored_object import (
+    Change,
+    Changes,
+    StoredObject,
+)
 
 __all__ = (
     'AnnounceCall',
     'CONFIGURATION_KIND',
     'CONFIGURATION_NAME',
     'InboundCall',
+    'Change',
     'Changes',
     'HISTORY_GONE',
     'MALFORMED',
@@ -61,6 +72,10 @@
     'decode_packet',
     'decode_routing',
     'encode_reset',
+    'is_integer',
+    'is_number',
+    'is_text',
+    'read_json',
     'find_request_bytes',
     'find_request_id',
     'find_status',
--- a/bluebellfold/platform/objects.py
+++ b/bluebellfold/platform/objects.py
@@ -1,6 +1,7 @@
 """Read, write and watch objects in the platform's store."""
 
 import json
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -17,12 +18,18 @@
     ClientResponse,
     HttpClient,
 )
+from bluebellfold.platform.json_reader import (
+    is_integer,
+    is_text,
+    read_json,
+)
 from bluebellfold.platform.stored_object import Change, Changes, StoredObject
 
 OBJECTS_PATH = '/bluebellfold/objects'
 # The store responds in 4 ms; after this time the response is presumed lost.
 CALL_TIMEOUT_SECONDS = 1.0
 MS_PER_SECOND = 1000
+MAX_REVISION = 0x7FFFFFFFFFFFFFFF
 
 HISTORY_GONE = Sentinel(
     name='history-gone',
@@ -79,14 +86,14 @@
                 _target(kind, query=query), timeout_seconds=timeout_seconds
             )
             fields = _decode_body(response)
-            page = fields.get('items', ())
+            page = tuple(_decode_entries(fields.get('items')))
             listed_changes.extend(
-                Change(stored=_decode_object(entry), deleted=False)
-                for entry in page
+                Change(stored=stored, deleted=False) for stored in page
             )
-            first_revision = first_revision or int(fields['StoreRevision'])
+            first_revision = first_revision or _decode_revision(fields)
+            # A page without a readable name doesn't tell where to go on.
             has_more = bool(fields.get('HasMore')) and bool(page)
-            last_name = listed_changes[-1].stored.name if listed_changes else ''
+            last_name = page[-1].name if page else ''
         return Changes(changes=tuple(listed_changes), revision=first_revision)
 
     async def watch(
@@ -112,8 +119,8 @@
             return HISTORY_GONE
         fields = _decode_body(response)
         return Changes(
-            changes=tuple(map(_decode_change, fields.get('events', ()))),
-            revision=int(fields['StoreRevision']),
+            changes=tuple(_decode_events(fields.get('events'))),
+            revision=_decode_revision(fields),
         )
 
     async def read(
@@ -127,7 +134,7 @@
         )
         if response.status == HTTPStatus.NOT_FOUND:
             return MISSING_OBJECT
-        return _decode_object(_decode_body(response))
+        return _decode_single(response)
 
     async def create(
         self,
@@ -263,39 +270,69 @@
 
 
 def _decode_body(response: ClientResponse) -> dict[str, Any]:
-    try:
-        fields = json.loads(response.body)
-    except ValueError:
-        fields = None
+    fields = read_json(response.body)
     if isinstance(fields, dict):
         return fields
-    raise PlatformResponseError(
-        problem='the response of the store is not a JSON object',
-        remedy='check the address of the store in the settings',
-    )
+    raise _unusable_response('the response of the store is not a JSON object')
 
 
-def _decode_change(event: dict[str, Any]) -> Change:
-    return Change(
-        stored=_decode_object(event['Object']),
-        deleted=bool(event['Deleted']),
-    )
+def _decode_revision(fields: dict[str, Any]) -> int:
+    revision = fields.get('StoreRevision')
+    if is_integer(revision, least=0, most=MAX_REVISION):
+        return revision
+    raise _unusable_response('the response of the store has no revision')
+
+
+def _decode_entries(entries: Any) -> Iterator[StoredObject]:
+    """Decode the entries that have a name."""
+    for entry in entries if isinstance(entries, list) else ():
+        stored = _decode_object(entry)
+        if stored is not None:
+            yield stored
 
 
-def _decode_object(fields: dict[str, Any]) -> StoredObject:
-    meta = fields['meta']
-    return StoredObject(
-        name=str(meta['Name']),
-        revision=int(meta['Revision']),
-        spec=fields.get('spec'),
+def _decode_events(events: Any) -> Iterator[Change]:
+    """Decode the changes of entries that have a name."""
+    for event in events if isinstance(events, list) else ():
+        if not isinstance(event, dict):
+            continue
+        stored = _decode_object(event.get('Object'))
+        if stored is not None:
+            yield Change(stored=stored, deleted=event.get('Deleted') is True)
+
+
+def _decode_object(fields: Any) -> StoredObject | None:
+    """Return the object, None if it has no name.
+
+    An object with an unreadable revision is returned without its content.
+    """
+    meta = fields.get('meta') if isinstance(fields, dict) else None
+    name = meta.get('Name') if isinstance(meta, dict) else None
+    if not is_text(name):
+        return None
+    revision = meta.get('Revision')
+    if not is_integer(revision, least=0, most=MAX_REVISION):
+        return StoredObject(name=name, revision=0, spec=None)
+    return StoredObject(name=name, revision=revision, spec=fields.get('spec'))
+
+
+def _decode_single(response: ClientResponse) -> StoredObject:
+    stored = _decode_object(_decode_body(response))
+    if stored is None:
+        raise _unusable_response('the object in the response has no name')
+    return stored
+
+
+def _unusable_response(problem: str) -> PlatformResponseError:
+    return PlatformResponseError(
+        problem=problem,
+        remedy='check the address of the store in the settings',
     )
 
 
 def _decode_written_object(response: ClientResponse) -> StoredObject | Sentinel:
     failure = _find_write_failure(response)
-    return (
-        _decode_object(_decode_body(response)) if failure is None else failure
-    )
+    return _decode_single(response) if failure is None else failure
 
 
 def _find_write_failure(response: ClientResponse) -> Sentinel | None:
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -6,8 +6,13 @@
 from typing import Any
 
 from bluebellfold.core import Message, Packet, Registry, Sentinel
+from bluebellfold.relay.agents.load_fields import (
+    check_range,
+    pack_load,
+    unpack_load,
+)
 from bluebellfold.relay.agents.messages import (
-    AgentLoad,
+    DECLINE_NAMES,
     Declined,
     FlowFound,
     FlowLookup,
@@ -17,7 +22,6 @@
     ForwardedPacket,
     LoadReport,
     Offer,
-    RequestStats,
     ReturnedPacket,
     Subscribe,
     Versions,
@@ -26,12 +30,10 @@
 # Idle seconds, offers sent, configuration version, agent list revision, one
 # report only.
 _SUBSCRIBE_FIELDS = struct.Struct('>fIqq?')
-# Incarnation, sequence, offers seen, state, warming up, slots, requests
-# in flight, flows, configuration version, agent list revision, mean work
-# seconds, failure share.
-_LOAD_FIELDS = struct.Struct('>QIIBBHHIqqff')
 _MAX_COUNTER = 0xFFFFFFFF
 _MAX_SHORT = 0xFFFF
+# Bounds of durations in messages.
+_MAX_SECONDS = 86_400.0
 FLOW_KEY_BYTES = 12
 # Flow key, acknowledgement number.
 _LOOKUP_FIELDS = struct.Struct('>12sI')
@@ -72,7 +74,7 @@
         return UNREADABLE_MESSAGE
     try:
         return decode(datagram, read_packet)
-    except (struct.error, UnicodeDecodeError, IndexError):
+    except (struct.error, ValueError, IndexError):
         return UNREADABLE_MESSAGE
 
 
@@ -159,7 +161,9 @@
     packet = read(datagram[2:])
     if not packet:
         return packet
-    return Declined(packet=packet, reason=datagram[1])
+    reason = datagram[1]
+    check_range(reason, least=1, most=len(DECLINE_NAMES) - 1)
+    return Declined(packet=packet, reason=reason)
 
 
 @ENCODERS.add(FlowLookup)
@@ -191,6 +195,7 @@
 @DECODERS.add(_SUBSCRIBE)
 def _decode_subscribe(datagram: bytes, _: PacketReader) -> Any:
     numbers = _SUBSCRIBE_FIELDS.unpack(datagram[1:])
+    check_range(numbers[0], least=0, most=_MAX_SECONDS)
     return Subscribe(
         idle_seconds=numbers[0],
         offers_sent=numbers[1],
@@ -210,57 +215,15 @@
 @DECODERS.add(_OWNER)
 def _decode_owner(datagram: bytes, _: PacketReader) -> Any:
     flow, host, port = _OWNER_FIELDS.unpack(datagram[1:])
+    check_range(port, least=1, most=_MAX_SHORT)
     return FlowOwner(flow=flow, owner=(socket.inet_ntoa(host), port))
 
 
 @ENCODERS.add(LoadReport)
 def _encode_report(message: LoadReport) -> bytes:
-    load = message.load
-    service = load.service.encode()
-    return b''.join(
-        (
-            bytes((_LOAD_REPORT,)),
-            _LOAD_FIELDS.pack(
-                load.incarnation,
-                load.sequence & _MAX_COUNTER,
-                load.offers_seen & _MAX_COUNTER,
-                load.state,
-                load.warming,
-                min(load.slots, _MAX_SHORT),
-                min(load.in_flight, _MAX_SHORT),
-                load.flows,
-                load.versions.configuration,
-                load.versions.agents,
-                load.request_stats.work_seconds,
-                load.request_stats.failure_share,
-            ),
-            bytes((len(service),)),
-            service,
-            load.zone.encode(),
-        ),
-    )
+    return bytes((_LOAD_REPORT,)) + pack_load(message.load)
 
 
 @DECODERS.add(_LOAD_REPORT)
 def _decode_report(datagram: bytes, _: PacketReader) -> Any:
-    numbers_end = 1 + _LOAD_FIELDS.size
-    numbers = _LOAD_FIELDS.unpack(datagram[1:numbers_end])
-    service_end = numbers_end + 1 + datagram[numbers_end]
-    return LoadReport(
-        load=AgentLoad(
-            incarnation=numbers[0],
-            sequence=numbers[1],
-            offers_seen=numbers[2],
-            state=numbers[3],
-            warming=bool(numbers[4]),
-            slots=numbers[5],
-            in_flight=numbers[6],
-            flows=numbers[7],
-            versions=Versions(configuration=numbers[8], agents=numbers[9]),
-            request_stats=RequestStats(
-                work_seconds=numbers[10], failure_share=numbers[-1]
-            ),
-            service=datagram[numbers_end + 1 : service_end].decode(),
-            zone=datagram[service_end:].decode(),
-        ),
-    )
+    return LoadReport(load=unpack_load(datagram[1:]))
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -1,5 +1,7 @@
 """Test the encoding of the messages between balancers and agents."""
 
+from math import inf, nan
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -7,10 +9,12 @@
 from bluebellfold.core import Message, Sentinel
 from bluebellfold.platform import decode_client_packet
 from bluebellfold.relay.agents import (
+    UNREADABLE_MESSAGE,
     Declined,
     FlowFound,
     FlowLookup,
     FlowNotFound,
+    FlowOwner,
     FlowUncertain,
     ForwardedPacket,
     Offer,
@@ -37,8 +41,10 @@
         Offer(packet=opening_packet(), service='counter', max_in_flight=7),
         Declined(packet=opening_packet(), reason=3),
         FlowFound(flow=PACKET.flow),
+        FlowOwner(flow=PACKET.flow, owner=('10.0.0.9', 8172)),
         Subscribe(
             idle_seconds=15,
+            once=True,
             offers_sent=7,
             versions=Versions(configuration=12, agents=3),
         ),
@@ -56,6 +62,32 @@
     assert encode_and_decode(message) == message
 
 
+@pytest.mark.parametrize(
+    'message',
+    [
+        report_of(state=9),
+        report_of(slots=0),
+        report_of(
+            request_stats=RequestStats(work_seconds=nan, failure_share=0)
+        ),
+        report_of(
+            request_stats=RequestStats(work_seconds=0, failure_share=inf)
+        ),
+        Declined(packet=opening_packet(), reason=200),
+        FlowOwner(flow=PACKET.flow, owner=('10.0.0.9', 0)),
+        Subscribe(
+            idle_seconds=inf,
+            offers_sent=7,
+            versions=Versions(configuration=12, agents=3),
+        ),
+    ],
+    ids=range(7),
+)
+def test_message_with_a_field_out_of_range_is_unreadable(message):
+    # A load without slots ended the choice of an agent with an exception.
+    assert encode_and_decode(message) is UNREADABLE_MESSAGE
+
+
 @given(st.binary(max_size=200))
 def test_any_datagram_decodes_without_an_exception(datagram):
     decoded = decode_message(
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -158,7 +158,7 @@
         for datagram, _ in self._client_socket.receive():
             packet = decode_client_packet(datagram)
             if packet:
-                self._relay.handle_packet(packet, now)
+                self.guard(self._relay.handle_packet, packet, now)
             else:
                 self._journal.count(packet.name)
 
@@ -167,14 +167,14 @@
         for datagram, address in self._agent_socket.receive():
             message = decode_message(datagram, read_packet=decode_client_packet)
             if message:
-                self._relay.handle_message(message, address, now)
+                self.guard(self._relay.handle_message, message, address, now)
             else:
                 self._journal.count(message.name)
 
     def _tick(self) -> None:
         now = self._clock.now()
-        self._relay.tick(now)
-        self._relist_outdated(now)
+        self.guard(self._relay.tick, now)
+        self.guard(self._relist_outdated, now)
         loop = asyncio.get_running_loop()
         loop.call_later(TICK_INTERVAL_SECONDS, self._tick)
 
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -31,6 +31,8 @@
 # Agents must be listed within 2 s after the store is reachable again.
 RETRY_CAP_SECONDS = 1.0
 MAX_PORT = 65_535
+# Unreadable entries that are logged, each revision once.
+MAX_REJECTED = 1_000
 
 _log = logging.getLogger(__name__)
 
@@ -52,10 +54,20 @@
         self._actor = actor
         self._entries: dict[str, AgentEntry] = {}
         self._newest_revision = 0
+        self._rejected: dict[str, int] = {}
 
     def replace_all(self, changes: Changes) -> None:
-        """Replace the known entries by the listed ones, and report them."""
-        self._entries = {}
+        """Replace the known entries by the listed ones, and report them.
+
+        An entry that has become unreadable stays as it was: only its
+        deletion shows that the agent has left.
+        """
+        listed = {change.stored.name for change in changes.changes}
+        self._entries = {
+            name: entry
+            for name, entry in self._entries.items()
+            if name in listed
+        }
         self.apply(changes)
 
     def apply(self, changes: Changes) -> None:
@@ -67,7 +79,7 @@
                 continue
             entry = _decode_entry(change.stored.spec)
             if entry is None:
-                log_event(_log, 'BBF0732', object_name=name)
+                self._reject(change.stored)
                 continue
             self._entries[name] = entry
             # The revision of the agent that was written last. All balancers
@@ -84,6 +96,19 @@
             ),
         )
 
+    def _reject(self, stored: StoredObject) -> None:
+        # The list is read anew after each interruption of the watch.
+        if self._rejected.get(stored.name) == stored.revision:
+            return
+        if len(self._rejected) < MAX_REJECTED:
+            self._rejected[stored.name] = stored.revision
+            log_event(
+                _log,
+                'BBF0732',
+                object_name=stored.name,
+                revision=stored.revision,
+            )
+
 
 class AgentRegistrar(Actor):
     """Register this agent in the store, and deregister it."""
@@ -98,7 +123,7 @@
 
     async def open(self) -> None:
         """Start the registration, which is retried until it succeeds."""
-        self.spawn(self._register(), name='register')
+        self.supervise(self._register, name='register')
 
     async def close(self) -> None:
         """Close the connection to the store."""
--- a/bluebellfold/relay/store/watching.py
+++ b/bluebellfold/relay/store/watching.py
@@ -51,7 +51,7 @@
 
     async def open(self) -> None:
         """Start the watch."""
-        self._watch_task = self.spawn(self._watch_kind(), name='follow')
+        self._start_watch()
 
     async def close(self) -> None:
         """Close the connection to the store."""
@@ -77,7 +77,17 @@
         log_event(_log, 'BBF0737', kind=self._kind, reason=message.reason)
         self._watch_task.cancel()
         self._revision = None
-        self._watch_task = self.spawn(self._watch_kind(), name='follow')
+        self._start_watch()
+
+    def _start_watch(self) -> None:
+        self._watch_task = self.supervise(
+            self._watch_kind, name='follow', failed=self._handle_end
+        )
+
+    def _handle_end(self) -> None:
+        # What was missed is read from a new list.
+        self._revision = None
+        self.handle_reachability(reachable=False)
 
     async def _watch_kind(self) -> None:
         while True:
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -200,7 +200,7 @@
         for datagram, address in self._balancer_socket.receive():
             message = decode_message(datagram, read_packet=decode_client_packet)
             if message:
-                self._relay.handle_message(message, address, now)
+                self.guard(self._relay.handle_message, message, address, now)
             else:
                 self._journal.count(message.name)
         self._schedule_tick()
@@ -210,7 +210,7 @@
         for datagram, _ in self._outbound_socket.receive():
             packet = decode_packet(datagram, from_client=False)
             if packet:
-                self._relay.handle_upstream_packet(packet, now)
+                self.guard(self._relay.handle_upstream_packet, packet, now)
             else:
                 self._journal.count(packet.name)
         self._schedule_tick()
@@ -232,7 +232,7 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._relay.tick(self._clock.now())
+        self.guard(self._relay.tick, self._clock.now())
         self._schedule_tick()
 
     def _schedule_tick(self) -> None:
--- a/bluebellfold/upstreams/load_reports.py
+++ b/bluebellfold/upstreams/load_reports.py
@@ -23,7 +23,7 @@
     load = _read_field(load_body, 'load')
     if isinstance(load, bool) or not isinstance(load, (int, float)):
         return None
-    return _clamp(float(load))
+    return _clamp(load)
 
 
 def _clamp(load: float) -> float | None:
@@ -36,7 +36,7 @@
 def _read_field(body: bytes, name: str) -> Any:
     try:
         document = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     if not isinstance(document, dict):
         return None
