--- a/bluebellfold/core/datagrams.py
+++ b/bluebellfold/core/datagrams.py
@@ -9,6 +9,8 @@
 MAX_DATAGRAM_BYTES = 2048
 # The limit lets other tasks run while datagrams keep arriving.
 MAX_DATAGRAMS_PER_RECEIVE = 64
+# Datagrams that follow each other faster than this are read together.
+BUSY_INTERVAL_SECONDS = 0.001
 # Kernel buffer in each direction; it holds datagrams while the process is busy.
 SOCKET_BUFFER_BYTES = 1_048_576
 
@@ -18,12 +20,13 @@
 class DatagramSocket:
     """Own one UDP socket."""
 
-    __slots__ = ('_socket',)
+    __slots__ = ('_received_at', '_socket')
 
     def __init__(
         self, *, endpoint: Endpoint | None, peer: Endpoint | None = None
     ) -> None:
         """Bind to an endpoint, or connect to a peer; raise OSError."""
+        self._received_at = float(0)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
@@ -44,9 +47,16 @@
         """Return the file descriptor, for an event loop."""
         return self._socket.fileno()
 
-    def receive(self) -> Iterator[tuple[bytes, Address]]:
-        """Yield received datagrams, up to a limit, or raise OSError."""
-        for _ in range(MAX_DATAGRAMS_PER_RECEIVE):
+    def receive(self, now: float) -> Iterator[tuple[bytes, Address]]:
+        """Yield received datagrams, up to a limit, or raise OSError.
+
+        A socket that wakes the process rarely has one datagram, and a second
+        read would only tell that there is none. The event loop calls again
+        at once if there is, and then all are read.
+        """
+        is_busy = now - self._received_at < BUSY_INTERVAL_SECONDS
+        self._received_at = now
+        for _ in range(MAX_DATAGRAMS_PER_RECEIVE if is_busy else 1):
             try:
                 yield self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
--- a/bluebellfold/daemons/relaying.py
+++ b/bluebellfold/daemons/relaying.py
@@ -102,10 +102,11 @@
     *, process: RelayProcess, role: str, run: Callable[[], Awaitable[None]]
 ) -> int:
     """Run a role until it ends, and return the exit code."""
+    writer = LineWriter()
     start_logging(
         CollectorSettings(log_level=process.log_level),
         process=process.name,
-        stream=LineWriter(),
+        stream=writer,
     )
     log_event(_log, 'BBF0101', role=role, zone=process.zone)
     try:
@@ -118,6 +119,8 @@
             remedy='check the addresses in the settings',
         )
         return EXIT_FAILURE
+    finally:
+        writer.write_batch()
     log_event(_log, 'BBF0102', role=role)
     return EXIT_SUCCESS
 
--- a/bluebellfold/relay/callers/__init__.py
+++ b/bluebellfold/relay/callers/__init__.py
@@ -4,10 +4,6 @@
 from bluebellfold.relay.callers.messages import (
     CheckReadiness,
     LeaveRotation,
-    Relist,
-    SetRoutesFresh,
-    UpdateAgents,
-    UpdateRoutes,
 )
 from bluebellfold.relay.callers.relay import ClientRelay
 
@@ -16,8 +12,4 @@
     'ClientActor',
     'ClientRelay',
     'LeaveRotation',
-    'Relist',
-    'SetRoutesFresh',
-    'UpdateAgents',
-    'UpdateRoutes',
 )
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -16,16 +16,15 @@
 from bluebellfold.core.datagrams import DatagramSocket
 from bluebellfold.platform import decode_client_packet, encode_reset
 from bluebellfold.relay.agents import Address, decode_message, encode_message
-from bluebellfold.relay.callers.messages import (
-    CheckReadiness,
-    LeaveRotation,
+from bluebellfold.relay.callers.messages import CheckReadiness, LeaveRotation
+from bluebellfold.relay.callers.relay import ClientRelay
+from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.store import (
     Relist,
     SetRoutesFresh,
     UpdateAgents,
     UpdateRoutes,
 )
-from bluebellfold.relay.callers.relay import ClientRelay
-from bluebellfold.relay.collectors import Journal
 
 # Limits the delay until an unanswered offer or a starting agent is detected.
 TICK_INTERVAL_SECONDS = 0.05
@@ -155,7 +154,7 @@
 
     def _receive_from_clients(self) -> None:
         now = self._clock.now()
-        for datagram, _ in self._client_socket.receive():
+        for datagram, _ in self._client_socket.receive(now):
             packet = decode_client_packet(datagram)
             if packet:
                 self.guard(self._relay.handle_packet, packet, now)
@@ -164,7 +163,7 @@
 
     def _receive_from_agents(self) -> None:
         now = self._clock.now()
-        for datagram, address in self._agent_socket.receive():
+        for datagram, address in self._agent_socket.receive(now):
             message = decode_message(datagram, read_packet=decode_client_packet)
             if message:
                 self.guard(self._relay.handle_message, message, address, now)
--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -6,10 +6,20 @@
     AgentWatch,
 )
 from bluebellfold.relay.store.configuration import ConfigurationWatch
+from bluebellfold.relay.store.messages import (
+    Relist,
+    SetRoutesFresh,
+    UpdateAgents,
+    UpdateRoutes,
+)
 
 __all__ = (
     'AGENTS_KIND',
     'AgentRegistrar',
     'AgentWatch',
     'ConfigurationWatch',
+    'Relist',
+    'SetRoutesFresh',
+    'UpdateAgents',
+    'UpdateRoutes',
 )
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -21,7 +21,7 @@
     StoreError,
 )
 from bluebellfold.relay.agents import AgentEntry
-from bluebellfold.relay.callers import UpdateAgents
+from bluebellfold.relay.store.messages import UpdateAgents
 from bluebellfold.relay.store.watching import KindWatch
 
 AGENTS_KIND = 'bluebellfold-agents'
--- a/bluebellfold/relay/store/configuration.py
+++ b/bluebellfold/relay/store/configuration.py
@@ -14,7 +14,7 @@
     StoredObject,
     decode_routing,
 )
-from bluebellfold.relay.callers import SetRoutesFresh, UpdateRoutes
+from bluebellfold.relay.store.messages import SetRoutesFresh, UpdateRoutes
 from bluebellfold.relay.store.watching import KindWatch
 
 # A connection can break without an error. A VM counts as connected again 4 s
--- a/bluebellfold/relay/store/tests/test_agents.py
+++ b/bluebellfold/relay/store/tests/test_agents.py
@@ -6,11 +6,11 @@
 
 from bluebellfold.core import Actor, Registry, Stop
 from bluebellfold.relay.agents import AgentEntry
-from bluebellfold.relay.callers import UpdateAgents
 from bluebellfold.relay.store import (
     AGENTS_KIND,
     AgentRegistrar,
     AgentWatch,
+    UpdateAgents,
 )
 from bluebellfold.standins.object_api import PlatformStandin
 
--- a/bluebellfold/relay/store/watching.py
+++ b/bluebellfold/relay/store/watching.py
@@ -13,7 +13,7 @@
     ObjectStoreClient,
     StoreError,
 )
-from bluebellfold.relay.callers import Relist
+from bluebellfold.relay.store.messages import Relist
 
 # Longest pause between attempts until the first read succeeds.
 MAX_FIRST_READ_DELAY_SECONDS = 0.2
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -197,7 +197,7 @@
 
     def _read_balancers(self) -> None:
         now = self._clock.now()
-        for datagram, address in self._balancer_socket.receive():
+        for datagram, address in self._balancer_socket.receive(now):
             message = decode_message(datagram, read_packet=decode_client_packet)
             if message:
                 self.guard(self._relay.handle_message, message, address, now)
@@ -207,7 +207,7 @@
 
     def _read_outbound(self) -> None:
         now = self._clock.now()
-        for datagram, _ in self._outbound_socket.receive():
+        for datagram, _ in self._outbound_socket.receive(now):
             packet = decode_packet(datagram, from_client=False)
             if packet:
                 self.guard(self._relay.handle_upstream_packet, packet, now)
@@ -218,11 +218,12 @@
     def _read_upstream_errors(self) -> None:
         # The upstream sends nothing to this socket. The socket raises an error
         # after a packet to a closed port.
+        now = self._clock.now()
         try:
-            for _ in self._upstream_socket.receive():
+            for _ in self._upstream_socket.receive(now):
                 self._journal.count('upstream-unexpected-datagram')
         except ConnectionRefusedError:
-            self._relay.handle_refusal(self._clock.now())
+            self._relay.handle_refusal(now)
 
     def _send_raw_to_client(self, packet: Packet, raw: bytes) -> None:
         # Clients receive on the port that agents use.
