--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -37,8 +37,8 @@
 FLOW_KEY_BYTES = 12
 # Flow key, acknowledgement number.
 _LOOKUP_FIELDS = struct.Struct('>12sI')
-# Flow key, IPv4 address and port of the owner.
-_OWNER_FIELDS = struct.Struct('>12s4sH')
+# Flow key, IPv4 address and port of the owner, whether the sender denies.
+_OWNER_FIELDS = struct.Struct('>12s4sH?')
 
 UNREADABLE_MESSAGE = Sentinel(
     name='unreadable-message',
@@ -210,15 +210,16 @@
 def _encode_owner(message: FlowOwner) -> bytes:
     host, port = message.owner
     return bytes((_OWNER,)) + _OWNER_FIELDS.pack(
-        message.flow, socket.inet_aton(host), port
+        message.flow, socket.inet_aton(host), port, message.denies
     )
 
 
 @DECODERS.add(_OWNER)
 def _decode_owner(datagram: bytes, _: PacketReader) -> Any:
-    flow, host, port = _OWNER_FIELDS.unpack(datagram[1:])
+    flow, host, port, denies = _OWNER_FIELDS.unpack(datagram[1:])
     check_range(port, least=1, most=_MAX_SHORT)
-    return FlowOwner(flow=flow, owner=(socket.inet_ntoa(host), port))
+    owner = (socket.inet_ntoa(host), port)
+    return FlowOwner(flow=flow, owner=owner, denies=denies)
 
 
 @ENCODERS.add(LoadReport)
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -245,16 +245,21 @@
     """Name the agent whose upstream holds a flow.
 
     A balancer tells it to the home agents of the flow, and a home agent tells
-    it to a balancer that looks the flow up.
+    it to a balancer that looks the flow up. With ``denies``, the home agent is
+    also sure that its own upstream doesn't hold the flow.
     """
 
-    __slots__ = ('_owner',)
+    __slots__ = ('_denies', '_owner')
 
+    denies: bool = read_only('_denies')
     owner: Address = read_only('_owner')
 
-    def __init__(self, *, flow: bytes, owner: Address) -> None:
+    def __init__(
+        self, *, flow: bytes, owner: Address, denies: bool = False
+    ) -> None:
         super().__init__(flow=flow)
         self._owner = owner
+        self._denies = denies
 
 
 class Subscribe(Message):
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -41,7 +41,7 @@
         Offer(packet=opening_packet(), service='counter', max_in_flight=7),
         Declined(packet=opening_packet(), reason=3),
         FlowFound(flow=PACKET.flow),
-        FlowOwner(flow=PACKET.flow, owner=('10.0.0.9', 8172)),
+        FlowOwner(flow=PACKET.flow, owner=('10.0.0.9', 8172), denies=True),
         Subscribe(
             idle_seconds=15,
             once=True,
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -105,6 +105,7 @@
     def send_to_agent(self, address: Address, message: Message) -> None:
         """Send a message to an agent."""
         sent = self._agent_socket.send_to(encode_message(message), address)
+        self._journal.count_sent(message)
         if not sent:
             self._journal.count('agents-datagram-not-sent')
 
--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -129,18 +129,26 @@
         self._conclude(message.flow, lookup, now, complete=agents_complete)
 
     def handle_owner(
-        self, message: FlowOwner, address: Address, now: float
+        self,
+        message: FlowOwner,
+        address: Address,
+        now: float,
+        *,
+        agents_complete: bool,
     ) -> None:
         """Forward a flow's packets to the owner that a home agent names."""
         lookup = self._lookups.find(message.flow)
         if lookup is None:
             return
-        lookup.record_not_found(address)
+        if message.denies:
+            lookup.record_not_found(address)
+        else:
+            lookup.record_uncertain(address)
         owner = message.owner
         view = self._agent_table.find(owner)
         usable = view is not None and not view.is_presumed_dead(now)
         if not usable or lookup.has_denied(owner):
-            self._conclude(message.flow, lookup, now, complete=False)
+            self._conclude(message.flow, lookup, now, complete=agents_complete)
             return
         self._journal.count('flows-found-at-home')
         self._assign_owner(message.flow, owner, now)
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -286,8 +286,12 @@
     def _handle_owner(
         self, message: FlowOwner, address: Address, now: float
     ) -> None:
+        self._detect_pause(now)
         self._agent_table.mark_heard(address, now)
-        self._forwarder.handle_owner(message, address, now)
+        complete = self._agents_complete
+        self._forwarder.handle_owner(
+            message, address, now, agents_complete=complete
+        )
 
     @property
     def _agents_complete(self) -> bool:
--- a/bluebellfold/relay/callers/tests/test_large_fleet.py
+++ b/bluebellfold/relay/callers/tests/test_large_fleet.py
@@ -240,6 +240,24 @@
     assert not sent_to(balancer, ForwardedPacket), 'it has denied the flow'
 
 
+@pytest.mark.parametrize('denies', [True, False])
+def test_dead_flow_is_reset_though_its_homes_name_its_former_owner(denies):
+    # Its upstream has crashed. The homes remember the owner for 45 s, and
+    # clients that get no reset wait until they give up.
+    balancer = balancer_of()
+    former = ADDRESSES[7]
+    balancer.receive_packet(DATA)
+    homes = sent_to(balancer, FlowLookup)
+    hint = FlowOwner(flow=DATA.flow, owner=former, denies=denies)
+    balancer.receive_message(homes[0], hint)
+    balancer.receive_message(former, ReturnedPacket(packet=DATA))
+    deny(balancer, *(set(ADDRESSES) - set(homes) - {former}))
+    for home in homes:
+        balancer.receive_message(home, hint)
+    # A home that has restarted may hold the flow itself.
+    assert bool(balancer.transport.resets) == denies
+
+
 def open_flow(balancer):
     balancer.receive_packet(opening_packet())
     owner = single(sent_to(balancer, Offer))
--- a/bluebellfold/relay/collectors/journal.py
+++ b/bluebellfold/relay/collectors/journal.py
@@ -1,10 +1,12 @@
 """Count decisions and log them at a limited rate."""
 
 import logging
+import re
+from functools import cache
 from typing import Any
 
 from bluebellfold.collectors import log_event
-from bluebellfold.core import Clock, Tally
+from bluebellfold.core import Clock, Message, Tally
 from bluebellfold.relay.collectors.metrics import LatencyHistogram
 
 # An agent handles about 20 requests per second and a balancer about 60 new
@@ -49,6 +51,10 @@
         """Increase a counter."""
         self._tally.add(name, times)
 
+    def count_sent(self, message: Message) -> None:
+        """Count a datagram to another process of the system by its message."""
+        self._tally.add(_sent_counter(type(message)))
+
     def observe(self, seconds: float) -> None:
         """Add the response time of a request to the histogram."""
         self._latencies.observe(seconds)
@@ -73,3 +79,10 @@
             return False
         self._tokens -= 1
         return True
+
+
+@cache
+def _sent_counter(message_type: type[Message]) -> str:
+    """Return the counter of a message: ``sent-load-report`` and so on."""
+    words = re.sub('(?<!^)(?=[A-Z])', '-', message_type.__name__)
+    return f'sent-{words.lower()}'
--- a/bluebellfold/relay/collectors/tests/test_journal.py
+++ b/bluebellfold/relay/collectors/tests/test_journal.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from bluebellfold.core import ManualClock
+from bluebellfold.core import ManualClock, Message
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.collectors.journal import (
     LINES_SUPPRESSED,
@@ -38,3 +38,14 @@
     journal, _ = journal_and_clock()
     journal.log('BBF0741', paused_ms=900)
     assert caplog.records[-1].paused_ms == 900
+
+
+class LoadReport(Message):
+    __slots__ = ()
+
+
+def test_datagrams_are_counted_by_their_message():
+    journal, _ = journal_and_clock()
+    journal.count_sent(LoadReport())
+    journal.count_sent(LoadReport())
+    assert journal.tally.times('sent-load-report') == 2
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -131,6 +131,7 @@
     def send_to_balancer(self, address: Address, message: Message) -> None:
         """Send a message to a balancer."""
         sent = self._balancer_socket.send_to(encode_message(message), address)
+        self._journal.count_sent(message)
         if not sent:
             self._journal.count('balancers-datagram-not-sent')
 
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -72,20 +72,13 @@
     ) -> None:
         """Reply to a balancer that asks whether the upstream holds a flow."""
         flow = self._flows.find(message.flow)
-        reply_type: type[FlowMessage] = FlowNotFound
-        if flow is not None and flow.accepts_acknowledgement(
-            message.acknowledged
-        ):
-            reply_type = FlowFound
-        owner = self._directory.find(message.flow)
-        if owner is not None and flow is None:
-            self._transport.send_to_balancer(
-                address, FlowOwner(flow=message.flow, owner=owner)
-            )
-            return
-        if flow is None and not self._has_no_unknown_flows(now):
-            reply_type = FlowUncertain
-        self._transport.send_to_balancer(address, reply_type(flow=message.flow))
+        if flow is None:
+            reply = self._reply_unknown(message.flow, now)
+        elif flow.accepts_acknowledgement(message.acknowledged):
+            reply = FlowFound(flow=message.flow)
+        else:
+            reply = FlowNotFound(flow=message.flow)
+        self._transport.send_to_balancer(address, reply)
 
     def handle_client_packet(
         self, packet: Packet, address: Address, now: float
@@ -135,6 +128,14 @@
         """Forget which packets of unknown flows were sent to the upstream."""
         self._probes.clear()
 
+    def _reply_unknown(self, flow: bytes, now: float) -> FlowMessage:
+        """Return the reply to a lookup of a flow outside the flow table."""
+        denies = self._has_no_unknown_flows(now)
+        owner = self._directory.find(flow)
+        if owner is not None:
+            return FlowOwner(flow=flow, owner=owner, denies=denies)
+        return FlowNotFound(flow=flow) if denies else FlowUncertain(flow=flow)
+
     def _forward_unknown_flow(
         self, packet: Packet, address: Address, now: float
     ) -> None:
--- a/bluebellfold/relay/upstreams/tests/test_flow_directory.py
+++ b/bluebellfold/relay/upstreams/tests/test_flow_directory.py
@@ -26,6 +26,14 @@
     assert single(agent.transport.sent) == (BALANCER, HINT)
 
 
+def test_home_that_knows_all_flows_denies_with_its_hint():
+    agent = with_complete_flow_table(agent_with_balancer())
+    agent.receive_message(BALANCER, HINT)
+    agent.receive_message(BALANCER, LOOKUP)
+    reply = single(agent.transport.pop_messages(FlowOwner))
+    assert (reply.owner, reply.denies) == (OWNER, True)
+
+
 def test_own_flow_goes_before_what_the_home_was_told():
     agent = agent_with_flow()
     agent.receive_message(BALANCER, HINT)
