--- a/conftest.py
+++ b/conftest.py
@@ -1,11 +1,21 @@
 """Mark the tests listed in KNOWN-RED.txt as expected failures."""
 
+import os
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
 KNOWN_RED_FILE = Path(__file__).with_name('KNOWN-RED.txt')
 TEST_PREFIX = 'test: '
+PROFILE_VARIABLE = 'HYPOTHESIS_PROFILE'
+FUZZ_EXAMPLES = 500
+
+# Each run of the tests draws the same examples and reaches the same verdict;
+# `make fuzz` draws fresh ones.
+settings.register_profile('same', derandomize=True, deadline=None)
+settings.register_profile('fuzz', max_examples=FUZZ_EXAMPLES, deadline=None)
+settings.load_profile(os.environ.get(PROFILE_VARIABLE, 'same'))
 
 
 def known_red_tests() -> set[str]:
