--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -22,6 +22,7 @@
     DOWN,
     DRAINING,
     READY,
+    LOOKUP_MESSAGES,
     STATE_NAMES,
     UNKNOWN,
     AgentLoad,
@@ -40,6 +41,7 @@
     Subscribe,
     Versions,
 )
+from bluebellfold.relay.agents.outbox import Outbox, split_datagram
 from bluebellfold.relay.agents.selection import (
     ALL_FULL,
     DEFAULT_POLICY,
@@ -66,6 +68,7 @@
     'DEFAULT_POLICY',
     'DOWN',
     'DRAINING',
+    'LOOKUP_MESSAGES',
     'NO_AGENT',
     'POLICIES',
     'READY',
@@ -89,6 +92,7 @@
     'ForwardedPacket',
     'LoadReport',
     'Offer',
+    'Outbox',
     'RequestStats',
     'ReturnedPacket',
     'Subscribe',
@@ -99,4 +103,5 @@
     'queue_capacity',
     'select_agent',
     'select_subset',
+    'split_datagram',
 )
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -306,3 +306,8 @@
     def __init__(self, *, load: AgentLoad, followers: int = 0) -> None:
         self._load = load
         self._followers = followers
+
+
+# Sent together with others of the same turn. FlowFound isn't: packets wait for
+# it.
+LOOKUP_MESSAGES = (FlowLookup, FlowNotFound, FlowUncertain, FlowOwner)
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -15,7 +15,14 @@
 )
 from bluebellfold.core.datagrams import DatagramSocket
 from bluebellfold.platform import decode_client_packet, encode_reset
-from bluebellfold.relay.agents import Address, decode_message, encode_message
+from bluebellfold.relay.agents import (
+    LOOKUP_MESSAGES,
+    Address,
+    Outbox,
+    decode_message,
+    encode_message,
+    split_datagram,
+)
 from bluebellfold.relay.callers.messages import CheckReadiness, LeaveRotation
 from bluebellfold.relay.callers.relay import ClientRelay
 from bluebellfold.relay.collectors import Journal
@@ -35,6 +42,7 @@
 # How often a watch is told to relist while other balancers have a newer
 # version.
 RELIST_INTERVAL_SECONDS = 1.0
+NOT_SENT_COUNTER = 'agents-datagram-not-sent'
 
 
 class ClientActor(Actor):
@@ -64,6 +72,7 @@
         self._balancers = 0
         self._client_socket: DatagramSocket | None = None
         self._agent_socket: DatagramSocket | None = None
+        self._outbox: Outbox | None = None
         self._relay = ClientRelay(
             identity=f'{agent_endpoint.host}:{agent_endpoint.port}',
             zone=zone,
@@ -84,6 +93,7 @@
         """Bind both sockets; raise OSError if an address is not available."""
         self._client_socket = DatagramSocket(endpoint=self._client_endpoint)
         self._agent_socket = DatagramSocket(endpoint=self._agent_endpoint)
+        self._outbox = Outbox(send=self._agent_socket.send_to)
         loop = asyncio.get_running_loop()
         loop.add_reader(self._client_socket, self._receive_from_clients)
         loop.add_reader(self._agent_socket, self._receive_from_agents)
@@ -104,10 +114,12 @@
 
     def send_to_agent(self, address: Address, message: Message) -> None:
         """Send a message to an agent."""
-        sent = self._agent_socket.send_to(encode_message(message), address)
         self._journal.count_sent(message)
-        if not sent:
-            self._journal.count('agents-datagram-not-sent')
+        encoded = encode_message(message)
+        if isinstance(message, LOOKUP_MESSAGES):
+            self._outbox.add(encoded, address)
+        elif not self._agent_socket.send_to(encoded, address):
+            self._journal.count(NOT_SENT_COUNTER)
 
     def reset_client(self, packet: Packet) -> None:
         """Send a reset for the flow of a client's packet."""
@@ -163,19 +175,33 @@
                 self.guard(self._relay.handle_packet, packet, now)
             else:
                 self._journal.count(packet.name)
+        self._flush()
 
     def _receive_from_agents(self) -> None:
         now = self._clock.now()
         for datagram, address in self._agent_socket.receive(now):
-            message = decode_message(datagram, read_packet=decode_client_packet)
-            if message:
-                self.guard(self._relay.handle_message, message, address, now)
-            else:
-                self._journal.count(message.name)
+            for encoded in split_datagram(datagram):
+                self._handle_encoded(encoded, address, now)
+        self._flush()
+
+    def _handle_encoded(
+        self, encoded: bytes, address: Address, now: float
+    ) -> None:
+        message = decode_message(encoded, read_packet=decode_client_packet)
+        if message:
+            self.guard(self._relay.handle_message, message, address, now)
+        else:
+            self._journal.count(message.name)
+
+    def _flush(self) -> None:
+        refused = self._outbox.flush()
+        if refused:
+            self._journal.count(NOT_SENT_COUNTER, refused)
 
     def _tick(self) -> None:
         now = self._clock.now()
         self.guard(self._relay.tick, now)
+        self._flush()
         self.guard(self._relist_outdated, now)
         loop = asyncio.get_running_loop()
         loop.call_later(TICK_INTERVAL_SECONDS, self._tick)
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -22,7 +22,14 @@
     find_status,
     tag_packet,
 )
-from bluebellfold.relay.agents import Address, decode_message, encode_message
+from bluebellfold.relay.agents import (
+    LOOKUP_MESSAGES,
+    Address,
+    Outbox,
+    decode_message,
+    encode_message,
+    split_datagram,
+)
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.agent_start import AgentStart
@@ -44,6 +51,7 @@
 # It waits at most this long for requests in progress, which is well within the
 # time that the platform allows.
 STOP_MAX_SECONDS = 2.0
+NOT_SENT_COUNTER = 'balancers-datagram-not-sent'
 
 
 class UpstreamActor(Actor):
@@ -77,6 +85,7 @@
         self._stopping_since = float(0)
         self._timer: asyncio.TimerHandle | None = None
         self._balancer_socket: DatagramSocket | None = None
+        self._outbox: Outbox | None = None
         self._outbound_socket: DatagramSocket | None = None
         self._upstream_socket: DatagramSocket | None = None
         self._relay = UpstreamRelay(
@@ -106,6 +115,7 @@
         """Bind the sockets, or raise OSError."""
         host = self._outbound_endpoint.host
         self._balancer_socket = DatagramSocket(endpoint=self._balancer_endpoint)
+        self._outbox = Outbox(send=self._balancer_socket.send_to)
         self._outbound_socket = DatagramSocket(endpoint=self._outbound_endpoint)
         self._upstream_socket = DatagramSocket(
             endpoint=Endpoint(host=host, port=0), peer=self._upstream_endpoint
@@ -130,10 +140,12 @@
 
     def send_to_balancer(self, address: Address, message: Message) -> None:
         """Send a message to a balancer."""
-        sent = self._balancer_socket.send_to(encode_message(message), address)
         self._journal.count_sent(message)
-        if not sent:
-            self._journal.count('balancers-datagram-not-sent')
+        encoded = encode_message(message)
+        if isinstance(message, LOOKUP_MESSAGES):
+            self._outbox.add(encoded, address)
+        elif not self._balancer_socket.send_to(encoded, address):
+            self._journal.count(NOT_SENT_COUNTER)
 
     def send_to_upstream(self, packet: Packet, balancer: Address) -> None:
         """Send the upstream a client's packet that a balancer forwarded."""
@@ -199,13 +211,25 @@
     def _read_balancers(self) -> None:
         now = self._clock.now()
         for datagram, address in self._balancer_socket.receive(now):
-            message = decode_message(datagram, read_packet=decode_client_packet)
-            if message:
-                self.guard(self._relay.handle_message, message, address, now)
-            else:
-                self._journal.count(message.name)
+            for encoded in split_datagram(datagram):
+                self._handle_encoded(encoded, address, now)
+        self._flush()
         self._schedule_tick()
 
+    def _handle_encoded(
+        self, encoded: bytes, address: Address, now: float
+    ) -> None:
+        message = decode_message(encoded, read_packet=decode_client_packet)
+        if message:
+            self.guard(self._relay.handle_message, message, address, now)
+        else:
+            self._journal.count(message.name)
+
+    def _flush(self) -> None:
+        refused = self._outbox.flush()
+        if refused:
+            self._journal.count(NOT_SENT_COUNTER, refused)
+
     def _read_outbound(self) -> None:
         now = self._clock.now()
         for datagram, _ in self._outbound_socket.receive(now):
@@ -235,6 +259,7 @@
     def _tick(self) -> None:
         self._timer = None
         self.guard(self._relay.tick, self._clock.now())
+        self._flush()
         self._schedule_tick()
 
     def _schedule_tick(self) -> None:
