Build the balancer of the capacity benchmark as its class expects

Cause: BalancerTask takes a ProcessContext since its arguments were gathered there; the benchmark still passed them one by one, and make capacity lost its table of changed rows to a TypeError.

--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -31,6 +31,7 @@
     Stop,
 )
 from bluebellfold.daemons.balancer import BalancerTask
+from bluebellfold.daemons.process_context import ProcessContext
 from bluebellfold.operators import KeyRing, Keys, SiteSettings, parse_settings
 
 HOST = '127.0.0.77'
@@ -176,18 +177,20 @@
 def build_balancer(settings: SiteSettings) -> SocketlessBalancer:
     """Return a balancer with the settings."""
     return SocketlessBalancer(
-        settings=settings,
-        process=Process(
-            name='b',
-            zone='r1-a',
-            host=HOST,
-            control_port=1,
-            datagram_port=0,
-            keys_file='',
+        context=ProcessContext(
+            settings=settings,
+            process=Process(
+                name='b',
+                zone='r1-a',
+                host=HOST,
+                control_port=1,
+                datagram_port=0,
+                keys_file='',
+            ),
+            keys=Keys(token=KEY_RING, envelope=KEY_RING),
+            traces=NoTraces(),
+            clock=MonotonicClock(),
         ),
-        keys=Keys(token=KEY_RING, envelope=KEY_RING),
-        traces=NoTraces(),
-        clock=MonotonicClock(),
     )
 
 
