Accept a restarted upstream whose clock was set back

Cause: the agent ordered announcements by born, a time of day, and then by Sequence. After the clock of the VM was set back, each announcement of the later start counted as one of an earlier start and was ignored, while the server answered 200 to it.

Change: relay/upstreams/start_order.py decides which start is the current one from evidence in a registry of rules: the known start deregistered or closed its port, the other one was born later, the known one missed its announcements, or the other one keeps announcing itself while the known one is silent. What isn't applied is answered with 409, so that no sender takes its drain for acknowledged. A late deregistration of an earlier start with the same name no longer ends the upstream for good. BBF0727 and the new BBF0743 name the evidence and both starts. The soak restarts upstreams on an earlier clock.

The assertion on Announcement.version became two, on born and on sequence: the property that joined them is gone with the order that it gave.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -315,8 +315,8 @@
 register(
     number='BBF0727',
     level=logging.WARNING,
-    meaning='an outdated announcement of the upstream is ignored',
-    remedy=NO_REMEDY,
+    meaning='an announcement of another start of the upstream is not applied',
+    remedy='none needed for a late one; else compare the starts in the line',
 )
 register(
     number='BBF0728',
@@ -384,6 +384,12 @@
     meaning='a reset for a flow that the upstream does not hold is suppressed',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0743',
+    level=logging.INFO,
+    meaning='another start of the upstream replaces the known one',
+    remedy=NO_REMEDY,
+)
 register(
     number='BBF0742',
     level=logging.INFO,
--- a/bluebellfold/core/announcement.py
+++ b/bluebellfold/core/announcement.py
@@ -7,9 +7,10 @@
     """Carry one announcement of an upstream.
 
     ``born`` identifies the upstream's incarnation: its start time in
-    milliseconds since the epoch, 0 if unknown. ``sequence`` increases with
-    each announcement of one incarnation. ``warmup_seconds`` is the remaining
-    time in which the upstream is slower after its start.
+    milliseconds since the epoch by the clock of its VM, 0 if unknown.
+    ``sequence`` increases with each announcement of one incarnation.
+    ``warmup_seconds`` is the remaining time in which the upstream is slower
+    after its start.
     """
 
     __slots__ = (
@@ -50,6 +51,6 @@
         self._sequence = sequence
 
     @property
-    def version(self) -> tuple[int, int]:
-        """Return the incarnation and sequence, which order announcements."""
-        return (self._born, self._sequence)
+    def start(self) -> tuple[str, int]:
+        """Return the name and the start time, which identify a start."""
+        return (self._name, self._born)
--- a/bluebellfold/platform/tests/test_decoding.py
+++ b/bluebellfold/platform/tests/test_decoding.py
@@ -53,7 +53,8 @@
     assert announcement.slots == 2
     assert announcement.warmup_seconds == pytest.approx(1.5)
     assert not announcement.draining
-    assert announcement.version == (1_760_000_000_000, 4)
+    assert announcement.born == 1_760_000_000_000
+    assert announcement.sequence == 4
 
 
 @pytest.mark.parametrize(
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -180,8 +180,10 @@
 
     @reactions.add(ApplyAnnouncement)
     def _apply_announcement(self, message: ApplyAnnouncement) -> None:
-        self._relay.apply_announcement(message.announcement, self._clock.now())
-        message.reply.put(True)
+        applied = self._relay.apply_announcement(
+            message.announcement, self._clock.now()
+        )
+        message.reply.put(applied)
         self._schedule_tick()
 
     @reactions.add(ApplyDeregistration)
--- a/bluebellfold/relay/upstreams/announcement_server.py
+++ b/bluebellfold/relay/upstreams/announcement_server.py
@@ -53,10 +53,13 @@
         else:
             return self._reject(call)
         try:
-            await reply.wait(timeout=APPLY_TIMEOUT_SECONDS)
+            applied = await reply.wait(timeout=APPLY_TIMEOUT_SECONDS)
         except TimeoutError:
             self._journal.count('announcements-not-taken')
             return ServerResponse(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        if not applied:
+            # A success would tell the sender that its state is in force.
+            return ServerResponse(status=HTTPStatus.CONFLICT)
         return ServerResponse(status=HTTPStatus.OK)
 
     def _reject(self, call: object) -> ServerResponse:
--- a/bluebellfold/relay/upstreams/messages.py
+++ b/bluebellfold/relay/upstreams/messages.py
@@ -4,7 +4,7 @@
 
 
 class ApplyAnnouncement(Message):
-    """Apply an announcement of the upstream; reply when it is applied."""
+    """Apply an announcement of the upstream; reply whether it applies."""
 
     __slots__ = ('_announcement', '_reply')
 
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -21,15 +21,13 @@
 from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.forwarding import Forwarder
-from bluebellfold.relay.upstreams.health import (
-    OLDER_ANNOUNCEMENT,
-    UpstreamHealth,
-)
+from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.load_reporter import LoadReporter
 from bluebellfold.relay.upstreams.performance import (
     HUNG_REQUEST_SECONDS,
     Performance,
 )
+from bluebellfold.relay.upstreams.start_order import StartVerdict
 from bluebellfold.relay.upstreams.transport import Transport
 
 # A client gives up opening a flow after 1.4 s.
@@ -128,22 +126,17 @@
     def apply_announcement(
         self, announcement: Announcement, now: float
     ) -> bool:
-        """Apply an announcement; return False if it is older than the last."""
-        is_first = not self._health.is_announced
-        outcome = self._health.apply_announcement(announcement, now)
-        if outcome is OLDER_ANNOUNCEMENT:
+        """Apply an announcement; return False if it doesn't apply."""
+        known = self._health.announcement
+        verdict = self._health.apply_announcement(announcement, now)
+        if not verdict.accepted:
             self._journal.count('announcements-older')
-            self._journal.log(
-                'BBF0727',
-                upstream=announcement.name,
-                born=announcement.born,
-                sequence=announcement.sequence,
-                reason=OLDER_ANNOUNCEMENT.name,
-            )
+            self._log_verdict('BBF0727', verdict, announcement, known)
             return False
-        if is_first:
+        if known is None:
             self._compare_starts(announcement, now)
-        if outcome:
+        if verdict.restarted:
+            self._log_verdict('BBF0743', verdict, announcement, known)
             self._performance.reset(now)
             self._forget_flows(now, 'the upstream restarted')
         self._reporter.report_state_change(now, announcement)
@@ -224,6 +217,25 @@
     ) -> None:
         self._forwarder.record_owner(message, now)
 
+    def _log_verdict(
+        self,
+        event: str,
+        verdict: StartVerdict,
+        announcement: Announcement,
+        known: Announcement,
+    ) -> None:
+        self._journal.log(
+            event,
+            upstream=announcement.name,
+            born=announcement.born,
+            sequence=announcement.sequence,
+            draining=announcement.draining,
+            reason=verdict.evidence,
+            known_upstream=known.name,
+            known_born=known.born,
+            known_sequence=known.sequence,
+        )
+
     def _compare_starts(self, announcement: Announcement, now: float) -> None:
         """Mark the flow table complete if the upstream started later."""
         started_later = self._agent_start.precedes(announcement, now)
--- /dev/null
+++ b/bluebellfold/relay/upstreams/start_order.py
@@ -0,0 +1,282 @@
+"""Decide which start of an upstream is the current one.
+
+A start is known by its name and by the time of day at which it began. Two
+starts can't be ordered by that time alone, since the clock of their VM may have
+been set back in between. An announcement may also arrive late, after its sender
+has crashed and the upstream has started again. So a start that seems older
+replaces the known one as soon as other evidence shows that the known one is
+gone.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from bluebellfold.core import Announcement, Record, Registry, read_only
+
+# A running upstream announces itself at least once in this many intervals.
+MAX_QUIET_INTERVALS = 1.5
+# One that is silent for this many intervals counts as down.
+MAX_MISSED_INTERVALS = 2.5
+# Announcements that were held up together arrive within less than this many
+# intervals of each other.
+MIN_CONFIRMING_INTERVALS = 0.5
+# Starts of an upstream that are remembered as replaced or as candidates.
+MAX_REMEMBERED_STARTS = 8
+
+StartKey = tuple[str, int]
+
+
+class StartVerdict(Record):
+    """State whether an announcement applies, and on which evidence."""
+
+    __slots__ = ('_accepted', '_evidence', '_restarted')
+
+    accepted: bool = read_only('_accepted')
+    evidence: str = read_only('_evidence')
+    restarted: bool = read_only('_restarted')
+
+    def __init__(
+        self, *, accepted: bool, evidence: str, restarted: bool = False
+    ) -> None:
+        self._accepted = accepted
+        self._evidence = evidence
+        self._restarted = restarted
+
+
+FIRST_START = StartVerdict(accepted=True, evidence='first-announcement')
+SAME_START = StartVerdict(accepted=True, evidence='same-start')
+# A newer announcement, or one of a later start, was already applied.
+OLDER_ANNOUNCEMENT = StartVerdict(accepted=False, evidence='older-announcement')
+# Nothing shows yet that the known start is gone.
+UNCONFIRMED_START = StartVerdict(accepted=False, evidence='unconfirmed-start')
+
+
+class KnownStart:
+    """Hold the last announcement of a start, and whether the start ended."""
+
+    __slots__ = ('announced_at', 'announcement', 'deregistered', 'port_closed')
+
+    def __init__(self, announcement: Announcement, now: float) -> None:
+        self.announcement = announcement
+        self.announced_at = now
+        self.deregistered = False
+        self.port_closed = False
+
+    @property
+    def key(self) -> StartKey:
+        """Return what identifies the start."""
+        return self.announcement.start
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the start has deregistered or closed its port."""
+        return self.deregistered or self.port_closed
+
+    def renew(self, announcement: Announcement, now: float) -> None:
+        """Record a further announcement of the start."""
+        self.announcement = announcement
+        self.announced_at = now
+        self.port_closed = False
+
+
+class Candidate:
+    """Hold what was heard from a start that isn't the known one.
+
+    The known start has announced nothing since the first announcement of the
+    candidate. Times count in intervals between announcements.
+    """
+
+    __slots__ = (
+        'announcement',
+        'first_heard_at',
+        'first_sequence',
+        'heard_intervals',
+        'known_silent_intervals',
+        'was_replaced',
+    )
+
+    def __init__(
+        self, *, announcement: Announcement, was_replaced: bool, now: float
+    ) -> None:
+        self.announcement = announcement
+        self.first_heard_at = now
+        self.first_sequence = announcement.sequence
+        self.was_replaced = was_replaced
+        self.heard_intervals = float(0)
+        self.known_silent_intervals = float(0)
+
+    @property
+    def keeps_announcing(self) -> bool:
+        """Tell whether announcements arrive that weren't held up together."""
+        return (
+            self.announcement.sequence > self.first_sequence
+            and self.heard_intervals >= MIN_CONFIRMING_INTERVALS
+        )
+
+
+ReplacementRule = Callable[[KnownStart, Candidate], bool]
+REPLACEMENT_RULES: Registry[str, ReplacementRule] = Registry(
+    name='evidence that another start is the current one',
+)
+
+
+@REPLACEMENT_RULES.add('known-start-ended')
+def known_start_ended(known: KnownStart, candidate: Candidate) -> bool:
+    """Accept a new start once the known one has deregistered or is refused."""
+    return known.ended and not candidate.was_replaced
+
+
+@REPLACEMENT_RULES.add('born-later')
+def is_born_later(known: KnownStart, candidate: Candidate) -> bool:
+    """Accept a start that began later, unless that could undo a drain."""
+    if candidate.was_replaced or known.announcement.draining:
+        return False
+    return candidate.announcement.born > known.announcement.born
+
+
+@REPLACEMENT_RULES.add('known-start-silent')
+def known_start_is_silent(known: KnownStart, candidate: Candidate) -> bool:
+    """Accept a new start if the known one has missed its announcements."""
+    if candidate.was_replaced or known.announcement.draining:
+        return False
+    return candidate.known_silent_intervals > MAX_MISSED_INTERVALS
+
+
+@REPLACEMENT_RULES.add('keeps-announcing')
+def keeps_announcing(known: KnownStart, candidate: Candidate) -> bool:
+    """Accept a start that announces itself while the known one doesn't."""
+    return (
+        candidate.keeps_announcing
+        and candidate.known_silent_intervals > MAX_QUIET_INTERVALS
+    )
+
+
+class StartOrder:
+    """Track the known start of an upstream and the candidates to replace it."""
+
+    __slots__ = (
+        '_candidates',
+        '_deregistered_name',
+        '_interval_seconds',
+        '_known',
+        '_replaced',
+    )
+
+    def __init__(self, *, interval_seconds: float) -> None:
+        self._interval_seconds = interval_seconds
+        self._known: KnownStart | None = None
+        # Holds a deregistration from before the first announcement.
+        self._deregistered_name = ''
+        # The dictionaries are in order of insertion; the oldest are forgotten.
+        self._candidates: dict[StartKey, Candidate] = {}
+        self._replaced: dict[StartKey, None] = {}
+
+    @property
+    def announcement(self) -> Announcement | None:
+        """Return the last announcement of the known start, None before it."""
+        return None if self._known is None else self._known.announcement
+
+    @property
+    def announced_at(self) -> float:
+        """Return when the known start last announced itself, 0 if never."""
+        return 0 if self._known is None else self._known.announced_at
+
+    @property
+    def deregistered(self) -> bool:
+        """Tell whether the known start has deregistered."""
+        if self._known is None:
+            return bool(self._deregistered_name)
+        return self._known.deregistered
+
+    def judge(self, announcement: Announcement, now: float) -> StartVerdict:
+        """Decide whether an announcement applies, and remember it if so."""
+        known = self._known
+        if known is None:
+            self._adopt(announcement, now)
+            self.mark_deregistered(self._deregistered_name)
+            return FIRST_START
+        if _continues(known, announcement):
+            known.renew(announcement, now)
+            self._candidates.clear()
+            return SAME_START
+        candidate = self._find_candidate(known, announcement, now)
+        if announcement.sequence < candidate.announcement.sequence:
+            return OLDER_ANNOUNCEMENT
+        candidate.announcement = announcement
+        candidate.heard_intervals = self._intervals_since(
+            candidate.first_heard_at, now
+        )
+        candidate.known_silent_intervals = self._intervals_since(
+            known.announced_at, now
+        )
+        return self._judge_candidate(known, candidate, now)
+
+    def mark_deregistered(self, name: str) -> bool:
+        """Record a deregistration; return False for the name of another."""
+        known = self._known
+        if known is None:
+            self._deregistered_name = name
+            return True
+        if known.announcement.name != name:
+            return False
+        known.deregistered = True
+        return True
+
+    def mark_port_closed(self) -> None:
+        """Record that the upstream's port is closed."""
+        if self._known is not None:
+            self._known.port_closed = True
+
+    def _find_candidate(
+        self, known: KnownStart, announcement: Announcement, now: float
+    ) -> Candidate:
+        key = announcement.start
+        candidate = self._candidates.get(key)
+        if candidate is None:
+            candidate = Candidate(
+                announcement=announcement,
+                was_replaced=key in self._replaced or key == known.key,
+                now=now,
+            )
+            self._candidates[key] = candidate
+            _forget_oldest(self._candidates)
+        return candidate
+
+    def _judge_candidate(
+        self, known: KnownStart, candidate: Candidate, now: float
+    ) -> StartVerdict:
+        for evidence in REPLACEMENT_RULES:
+            if REPLACEMENT_RULES.find(evidence)(known, candidate):
+                self._adopt(candidate.announcement, now)
+                return StartVerdict(
+                    accepted=True, evidence=evidence, restarted=True
+                )
+        if candidate.was_replaced:
+            return OLDER_ANNOUNCEMENT
+        return UNCONFIRMED_START
+
+    def _intervals_since(self, moment: float, now: float) -> float:
+        return (now - moment) / self._interval_seconds
+
+    def _adopt(self, announcement: Announcement, now: float) -> None:
+        if self._known is not None:
+            self._replaced[self._known.key] = None
+            _forget_oldest(self._replaced)
+        self._replaced.pop(announcement.start, None)
+        self._candidates.clear()
+        self._known = KnownStart(announcement, now)
+
+
+def _continues(known: KnownStart, announcement: Announcement) -> bool:
+    # A start sends nothing after its deregistration. If it does, the
+    # deregistration was a late one of an earlier start with the same name.
+    return (
+        announcement.start == known.key
+        and announcement.sequence >= known.announcement.sequence
+        and not known.deregistered
+    )
+
+
+def _forget_oldest(remembered: dict[StartKey, Any]) -> None:
+    while len(remembered) > MAX_REMEMBERED_STARTS:
+        remembered.pop(next(iter(remembered)))
--- a/bluebellfold/soak/site.py
+++ b/bluebellfold/soak/site.py
@@ -120,9 +120,14 @@
         """Stop an upstream and lose its flows."""
         self.upstreams[index].close()
 
-    def start_upstream(self, index: int) -> StandinUpstream:
-        """Start a new incarnation of an upstream."""
-        self.incarnations[index] += 1
+    def start_upstream(
+        self, index: int, *, clock_step_ms: int = 1
+    ) -> StandinUpstream:
+        """Start a new incarnation of an upstream.
+
+        Its start time differs from the previous one by ``clock_step_ms``.
+        """
+        self.incarnations[index] += clock_step_ms
         return self.restart_upstream(index)
 
     async def keep_announcing(self) -> None:
--- a/bluebellfold/soak/upstream_faults.py
+++ b/bluebellfold/soak/upstream_faults.py
@@ -9,6 +9,7 @@
 from bluebellfold.soak.plan import ScheduledFault
 from bluebellfold.soak.site import SoakSite
 
+CLOCK_STEP_MS = 2000
 # A draining upstream is observed for this long after the grace time.
 OBSERVATION_SECONDS = 1.0
 
@@ -25,6 +26,20 @@
     site.release(f'upstream-{index}')
 
 
+@FAULTS.add('upstream-restarted-on-an-earlier-clock')
+async def restart_on_an_earlier_clock(
+    site: SoakSite, fault: ScheduledFault
+) -> None:
+    """Restart an upstream at once, on a clock that was set back."""
+    index = fault.target % len(site.upstreams)
+    if not site.try_acquire(f'upstream-{index}'):
+        return
+    site.crash_upstream(index)
+    site.start_upstream(index, clock_step_ms=-CLOCK_STEP_MS)
+    await asyncio.sleep(fault.seconds)
+    site.release(f'upstream-{index}')
+
+
 @FAULTS.add('upstream-drained')
 async def drain_upstream(site: SoakSite, fault: ScheduledFault) -> None:
     """Drain an upstream and replace it."""
