Keep paused flows when the idle time is raised

Cause: the moment from which a restarted agent took its flow table for complete was computed when a balancer subscribed and was only ever lowered. A longer idle time that came later didn't extend it. Flows that the agent had removed under a shorter idle time were denied in the same way.

Change: relay/upstreams/unknown_flows.py owns the answer whether the upstream may hold flows outside the table. It holds the moment of the latest gap in the table, with the doubt or the evidence as values, and compares it with the idle time in force when it is asked. Each denial is logged with its evidence (BBF0744). The last idle time stays in force while no balancer tells one. The soak lowers and raises the idle time, and has clients that pause.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -390,6 +390,12 @@
     meaning='another start of the upstream replaces the known one',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0744',
+    level=logging.INFO,
+    meaning="an agent tells a balancer that its upstream doesn't hold a flow",
+    remedy='the evidence names what the agent knows',
+)
 register(
     number='BBF0742',
     level=logging.INFO,
--- a/bluebellfold/relay/upstreams/flow_table.py
+++ b/bluebellfold/relay/upstreams/flow_table.py
@@ -54,13 +54,22 @@
         """
         return sum(flow.mark_hung(before) for flow in self._flows.values())
 
-    def expire(self, *, idle_before: float, half_open_before: float) -> int:
-        """Remove idle and half-open flows, and return how many."""
+    def expire(self, *, idle_before: float, half_open_before: float) -> float:
+        """Remove idle and half-open flows.
+
+        Return when the last packet of a removed open flow passed, minus
+        infinity if none was removed.
+        """
         expired = []
+        last_packet_at = float('-inf')
         for key, flow in self._flows.items():
-            before = idle_before if flow.state == OPEN else half_open_before
-            if flow.last_packet_at < before:
-                expired.append(key)
+            is_open = flow.state == OPEN
+            before = idle_before if is_open else half_open_before
+            if flow.last_packet_at >= before:
+                continue
+            expired.append(key)
+            if is_open:
+                last_packet_at = max(last_packet_at, flow.last_packet_at)
         for key in expired:
             self._flows.pop(key)
-        return len(expired)
+        return last_packet_at
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -28,6 +28,10 @@
 from bluebellfold.relay.upstreams.load_reporter import LoadReporter
 from bluebellfold.relay.upstreams.performance import Performance
 from bluebellfold.relay.upstreams.transport import Transport
+from bluebellfold.relay.upstreams.unknown_flows import (
+    UPSTREAM_DOWN,
+    UnknownFlows,
+)
 
 MS_PER_SECOND = 1000
 
@@ -44,12 +48,14 @@
         '_probes',
         '_reporter',
         '_transport',
+        '_unknown_flows',
     )
 
     def __init__(
         self,
         *,
         reporter: LoadReporter,
+        unknown_flows: UnknownFlows,
         health: UpstreamHealth,
         flows: FlowTable,
         performance: Performance,
@@ -57,6 +63,7 @@
         journal: Journal,
     ) -> None:
         self._reporter = reporter
+        self._unknown_flows = unknown_flows
         self._health = health
         self._flows = flows
         self._performance = performance
@@ -130,7 +137,7 @@
 
     def _reply_unknown(self, flow: bytes, now: float) -> FlowMessage:
         """Return the reply to a lookup of a flow outside the flow table."""
-        denies = self._has_no_unknown_flows(now)
+        denies = self._denies(flow, now)
         owner = self._directory.find(flow)
         if owner is not None:
             return FlowOwner(flow=flow, owner=owner, denies=denies)
@@ -139,17 +146,29 @@
     def _forward_unknown_flow(
         self, packet: Packet, address: Address, now: float
     ) -> None:
-        if self._has_no_unknown_flows(now):
+        if self._denies(packet.flow, now):
             self._return_packet(packet, address)
             return
         # The upstream returns the packet if it doesn't hold the flow.
         self._probes.setdefault(packet.flow, {})[address] = packet
+        self._journal.count('packets-of-unknown-flows')
         self._transport.send_to_upstream(packet, address)
 
-    def _has_no_unknown_flows(self, now: float) -> bool:
-        """Tell whether the upstream holds no flow outside the flow table."""
-        complete = self._reporter.has_all_flows(now)
-        return complete or self._health.state(now) == DOWN
+    def _denies(self, flow: bytes, now: float) -> bool:
+        """Tell whether the upstream doesn't hold a flow outside the table."""
+        judgement = self._unknown_flows.judge(
+            now, idle_seconds=self._reporter.idle_seconds
+        )
+        if not judgement and self._health.state(now) == DOWN:
+            judgement = UPSTREAM_DOWN
+        if not judgement:
+            return False
+        self._journal.log(
+            'BBF0744',
+            flow=format_flow(flow),
+            evidence=judgement.evidence,
+        )
+        return True
 
     def _handle_returned(self, packet: Packet) -> None:
         flow = self._flows.find(packet.flow)
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -1,8 +1,4 @@
-"""Report the state and the load of an upstream to balancers.
-
-Also decide, from the time that the agent has seen the upstream's packets,
-whether the flow table has every flow of the upstream.
-"""
+"""Report the state and the load of an upstream to balancers."""
 
 from bluebellfold.core import NO_VERSION, Announcement
 from bluebellfold.relay.agents import (
@@ -44,9 +40,8 @@
     __slots__ = (
         '_changed',
         '_flows',
-        '_flows_incomplete_since',
-        '_flows_incomplete_until',
         '_health',
+        '_idle_seconds',
         '_incarnation',
         '_journal',
         '_performance',
@@ -80,9 +75,7 @@
         self._transport = transport
         self._journal = journal
         self._subscriptions = Subscriptions()
-        # Flows from before the start of this process are not in the table.
-        self._flows_incomplete_since = now
-        self._flows_incomplete_until = now + DEFAULT_IDLE_SECONDS
+        self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._sequence = 0
         self._reported_at = now
         self._reported_state = UNKNOWN
@@ -92,9 +85,11 @@
 
     @property
     def idle_seconds(self) -> float:
-        """Return after how long without a packet a flow expires."""
-        reported = self._subscriptions.idle_seconds
-        return (reported or DEFAULT_IDLE_SECONDS) + IDLE_MARGIN_SECONDS
+        """Return after how long without a packet a flow expires.
+
+        It is the longest idle time that balancers tell, and a margin.
+        """
+        return self._idle_seconds + IDLE_MARGIN_SECONDS
 
     @property
     def subscriptions(self) -> Subscriptions:
@@ -110,20 +105,6 @@
         delay = max(delay, MIN_REPORT_DELAY_SECONDS)
         return self._reported_at + min(delay, REPORT_INTERVAL_SECONDS)
 
-    def has_all_flows(self, now: float) -> bool:
-        """Tell whether the flow table has every flow of the upstream."""
-        return now >= self._flows_incomplete_until
-
-    def mark_flows_complete(self, now: float) -> None:
-        """Record that the flow table has every flow of the upstream."""
-        self._flows_incomplete_until = now
-
-    def mark_flows_incomplete(self, now: float) -> None:
-        """Record that the upstream may hold flows outside the table."""
-        # Such a flow sends a packet or expires within the idle time.
-        self._flows_incomplete_since = now
-        self._flows_incomplete_until = now + self.idle_seconds
-
     def state(self, now: float) -> int:
         """Return the state that is reported to balancers."""
         if self._stopping:
@@ -165,14 +146,7 @@
             self._journal.log('BBF0726', balancer=address[0], subscribed=True)
         if is_new or message.once:
             self.report_to(address, now)
-        if message.idle_seconds:
-            # Flows without a packet have expired after the idle time, so the
-            # table is complete once the agent has watched for that long. A
-            # balancer without a configuration sends 0 for the idle time.
-            latest = self._flows_incomplete_since + self.idle_seconds
-            self._flows_incomplete_until = min(
-                self._flows_incomplete_until, latest
-            )
+        self._update_idle_time()
 
     def report_state_change(
         self, now: float, announcement: Announcement | None = None
@@ -223,6 +197,14 @@
         """Remove balancers whose subscription has expired."""
         for address in self._subscriptions.expire(now):
             self._journal.log('BBF0726', balancer=address[0], subscribed=False)
+        self._update_idle_time()
+
+    def _update_idle_time(self) -> None:
+        # A balancer without a configuration sends 0. While no balancer tells
+        # the idle time, the last one stays in force.
+        told = self._subscriptions.idle_seconds
+        if told:
+            self._idle_seconds = told
 
     def _send_report(
         self, address: Address, offers_seen: int, in_flight: int, now: float
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -29,6 +29,12 @@
 )
 from bluebellfold.relay.upstreams.start_order import StartVerdict
 from bluebellfold.relay.upstreams.transport import Transport
+from bluebellfold.relay.upstreams.unknown_flows import (
+    PORT_CLOSED,
+    STARTED_LATER,
+    UPSTREAM_RESTARTED,
+    UnknownFlows,
+)
 
 # A client gives up opening a flow after 1.4 s.
 HALF_OPEN_SECONDS = 1.5
@@ -51,6 +57,7 @@
         '_performance',
         '_reporter',
         '_sweep_due',
+        '_unknown_flows',
     )
 
     def __init__(
@@ -79,6 +86,7 @@
             journal=journal,
             now=now,
         )
+        self._unknown_flows = UnknownFlows(now=now)
         self._admission = FlowAdmission(
             reporter=self._reporter,
             health=health,
@@ -88,6 +96,7 @@
         )
         self._forwarder = Forwarder(
             reporter=self._reporter,
+            unknown_flows=self._unknown_flows,
             health=health,
             flows=self._flows,
             performance=self._performance,
@@ -138,7 +147,8 @@
         if verdict.restarted:
             self._log_verdict('BBF0743', verdict, announcement, known)
             self._performance.reset(now)
-            self._forget_flows(now, 'the upstream restarted')
+            self._forget_flows('the upstream restarted')
+            self._unknown_flows.record_cleared(now, UPSTREAM_RESTARTED)
         self._reporter.report_state_change(now, announcement)
         return True
 
@@ -157,8 +167,8 @@
         The upstream's port is closed, so it holds no flows.
         """
         self._health.mark_refused()
-        self._forget_flows(now, 'the upstream refused a packet')
-        self._reporter.mark_flows_complete(now)
+        self._forget_flows('the upstream refused a packet')
+        self._unknown_flows.record_no_flows(PORT_CLOSED)
         self._reporter.report_state_change(now)
 
     @singledispatchmethod
@@ -247,20 +257,20 @@
             younger=started_later,
         )
         if started_later:
-            self._reporter.mark_flows_complete(now)
+            self._unknown_flows.record_no_flows(STARTED_LATER)
 
-    def _forget_flows(self, now: float, reason: str) -> None:
+    def _forget_flows(self, reason: str) -> None:
         forgotten = self._flows.clear()
         self._reporter.mark_changed()
-        self._reporter.mark_flows_incomplete(now)
         self._journal.log('BBF0728', flows=forgotten, reason=reason)
 
     def _sweep(self, now: float) -> None:
         self._sweep_due = now + SWEEP_INTERVAL_SECONDS
-        self._flows.expire(
+        last_packet_at = self._flows.expire(
             idle_before=now - self._reporter.idle_seconds,
             half_open_before=now - HALF_OPEN_SECONDS,
         )
+        self._unknown_flows.record_expired(last_packet_at)
         self._forwarder.forget_probes()
         self._forwarder.expire_owners(now)
         self._reporter.expire(now)
--- a/bluebellfold/soak/clients.py
+++ b/bluebellfold/soak/clients.py
@@ -1,7 +1,8 @@
-"""Run the clients of a soak test: long flows, single requests, probes."""
+"""Run the clients of a soak test: flows of several kinds, and probes."""
 
 import asyncio
 import itertools
+import random
 
 from bluebellfold.soak.invariants import PROPAGATION_SECONDS
 from bluebellfold.soak.site import EXTRA_PORT, STORE, SoakSite
@@ -16,6 +17,8 @@
 RETRY_DELAY_SECONDS = 0.2
 PROBE_INTERVAL_SECONDS = 0.4
 REQUESTS_PER_FLOW = 60
+MIN_PAUSE_SECONDS = 4.0
+MAX_PAUSE_SECONDS = 14.0
 
 _request_numbers = itertools.count()
 
@@ -29,6 +32,22 @@
             await _send_requests(site, flow, REQUESTS_PER_FLOW)
 
 
+async def run_paused_flows(site: SoakSite, rng: random.Random) -> None:
+    """Send a few requests on a flow, with long pauses between them."""
+    client = site.client()
+    while True:
+        flow = await _open_flow(site, client)
+        upstream = ''
+        while flow is not None:
+            idle_since = site.now()
+            upstream = await _send_request(site, flow, upstream)
+            await asyncio.sleep(
+                rng.uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS)
+            )
+            if not upstream or site.may_expire(idle_since):
+                flow = None
+
+
 async def run_single_requests(site: SoakSite) -> None:
     """Open a flow for each request."""
     client = site.client()
--- a/bluebellfold/soak/run.py
+++ b/bluebellfold/soak/run.py
@@ -1,6 +1,7 @@
 """Run the soak test for one seed."""
 
 import asyncio
+import random
 import time
 from functools import partial
 from pathlib import Path
@@ -9,6 +10,7 @@
 from bluebellfold.soak.clients import (
     probe_extra_route,
     run_long_flows,
+    run_paused_flows,
     run_single_requests,
 )
 from bluebellfold.soak.faults import FAULTS
@@ -22,6 +24,7 @@
 RECOVERY_SECONDS = 12.0
 POLL_SECONDS = 0.2
 LONG_FLOW_CLIENTS = 6
+PAUSED_FLOW_CLIENTS = 8
 NETWORK_COUNT = 200
 SINGLE_REQUEST_CLIENTS = 3
 
@@ -82,6 +85,10 @@
     await _wait_until_served(site)
     clients = (
         *(partial(run_long_flows, site) for _ in range(LONG_FLOW_CLIENTS)),
+        *(
+            partial(run_paused_flows, site, random.Random(number))
+            for number in range(PAUSED_FLOW_CLIENTS)
+        ),
         *(
             partial(run_single_requests, site)
             for _ in range(SINGLE_REQUEST_CLIENTS)
--- a/bluebellfold/soak/site.py
+++ b/bluebellfold/soak/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from itertools import pairwise
 from pathlib import Path
 
 from bluebellfold.core import Endpoint
@@ -12,6 +13,7 @@
 from bluebellfold.standins.packets import SERVICE
 from bluebellfold.standins.relay_peers import StandinUpstream
 from bluebellfold.standins.relay_site import (
+    IDLE_MS,
     UPSTREAM_START_MS,
     RelaySite,
     make_configuration,
@@ -23,6 +25,7 @@
 STORE = 'store'
 # Port of the route that faults add and remove.
 EXTRA_PORT = 444
+MS_PER_SECOND = 1000
 
 
 class SoakSite(RelaySite):
@@ -38,6 +41,7 @@
         self.draining: set[int] = set()
         self.has_extra_route = False
         self.routes_changed_at = float(0)
+        self._idle_changes = [(float(0), IDLE_MS)]
         self._version = 1
         self._started_at = time.monotonic()
         self._acquired: set[str] = set()
@@ -49,16 +53,26 @@
     def reset_clock(self) -> None:
         """Restart the clock and reset the incarnations of upstreams."""
         self._started_at = time.monotonic()
+        self._idle_changes = [(float(0), IDLE_MS)]
         self.incarnations = [UPSTREAM_START_MS for _ in self.upstreams]
 
     def set_extra_route(self, *, enabled: bool) -> None:
         """Add or remove the extra route in the configuration."""
         self.has_extra_route = enabled
-        self._version += 1
         self.routes_changed_at = self.now()
-        ports = (SERVICE[1], EXTRA_PORT) if enabled else (SERVICE[1],)
-        self.store.put(
-            'config', 'main', make_configuration(self._version, *ports)
+        self._write_configuration()
+
+    def set_idle_time(self, idle_ms: int) -> None:
+        """Change after how many milliseconds idle flows may be removed."""
+        self._idle_changes.append((self.now(), idle_ms))
+        self._write_configuration()
+
+    def may_expire(self, idle_since: float) -> bool:
+        """Return whether a flow has been idle for longer than allowed."""
+        changes = [*self._idle_changes, (self.now(), 0)]
+        return any(
+            (ended_at - idle_since) * MS_PER_SECOND > idle_ms
+            for (_, idle_ms), (ended_at, _) in pairwise(changes)
         )
 
     def record_disturbance(self, component: str, seconds: float) -> None:
@@ -146,3 +160,13 @@
                 return_exceptions=True,
             )
             await asyncio.sleep(ANNOUNCEMENT_SECONDS)
+
+    def _write_configuration(self) -> None:
+        self._version += 1
+        ports = (SERVICE[1], EXTRA_PORT)[: 1 + self.has_extra_route]
+        _, idle_ms = self._idle_changes[-1]
+        self.store.put(
+            'config',
+            'main',
+            make_configuration(self._version, *ports, idle_ms=idle_ms),
+        )
--- a/bluebellfold/soak/store_faults.py
+++ b/bluebellfold/soak/store_faults.py
@@ -5,8 +5,10 @@
 from bluebellfold.soak.faults import FAULTS
 from bluebellfold.soak.plan import ScheduledFault
 from bluebellfold.soak.site import STORE, SoakSite
+from bluebellfold.standins.relay_site import IDLE_MS
 
 SLOW_SECONDS = 0.4
+SHORT_IDLE_MS = 5000
 
 
 @FAULTS.add('store-refuses')
@@ -41,6 +43,17 @@
     await asyncio.sleep(0)
 
 
+@FAULTS.add('idle-time-lowered')
+async def lower_idle_time(site: SoakSite, fault: ScheduledFault) -> None:
+    """Lower the idle time of flows, and raise it again."""
+    if not site.try_acquire('idle-time'):
+        return
+    site.set_idle_time(SHORT_IDLE_MS)
+    await asyncio.sleep(fault.seconds)
+    site.set_idle_time(IDLE_MS)
+    site.release('idle-time')
+
+
 async def _disturb_store(
     site: SoakSite, fault: ScheduledFault, option: str, *, setting: float | bool
 ) -> None:
--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -32,6 +32,7 @@
 METRICS_PORT = 28_464
 ANNOUNCEMENT_INTERVAL_MS = 300
 REQUEST_TIMEOUT_SECONDS = 2.0
+IDLE_MS = 15_000
 UPSTREAM_START_MS = 1_760_000_000_000
 SERVICE_NAME = 'counter'
 
@@ -65,7 +66,9 @@
 """
 
 
-def make_configuration(version: int, *ports: int) -> dict:
+def make_configuration(
+    version: int, *ports: int, idle_ms: int = IDLE_MS
+) -> dict:
     """Return a configuration with one route for each port of the service."""
     routes = [
         {
@@ -84,7 +87,7 @@
         'Version': version,
         'Routes': routes,
         'Services': [],
-        'Limits': {'IdleTimeoutMs': 15_000},
+        'Limits': {'IdleTimeoutMs': idle_ms},
     }
 
 
