Take no time of day for evidence on an upstream's flows

Cause: the restarted agent compared the upstream's start time with its own time of day, took the upstream for younger than itself, and so its empty flow table for complete. It denied flows that its upstream held. The agent's start was estimated, too, by 0.4 s before it was ready.

Change: the comparison is gone. What it was for, lost flows after a power loss, rests on what the upstream returns. All opening packets pass the agent, so a flow that the upstream returned, or reset, can't be open there until it is offered again, and the agent denies it from then on: each lost flow costs each upstream one packet, whichever balancers ask. A packet that is sent on in doubt is logged with the doubt (BBF0745, in place of BBF0742).

Tests: test_start_time_of_the_upstream_is_no_evidence, which fails before, and test_flow_lost_in_a_power_failure_costs_its_upstream_one_packet.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -397,10 +397,10 @@
     remedy='the evidence names what the agent knows',
 )
 register(
-    number='BBF0742',
+    number='BBF0745',
     level=logging.INFO,
-    meaning='an agent compared its start time with that of its upstream',
-    remedy='none needed',
+    meaning='a packet of an unknown flow is sent to the upstream',
+    remedy='the upstream returns it if it does not hold the flow',
 )
 register(
     number='BBF0741',
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -27,6 +27,7 @@
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.load_reporter import LoadReporter
 from bluebellfold.relay.upstreams.transport import Transport
+from bluebellfold.relay.upstreams.unknown_flows import UnknownFlows
 
 # The upstream's kernel answers an opening packet within 1 ms.
 UNANSWERED_TIMEOUT_SECONDS = 0.1
@@ -39,7 +40,14 @@
 class FlowAdmission:
     """Admit new flows to an upstream, or decline them."""
 
-    __slots__ = ('_flows', '_health', '_journal', '_reporter', '_transport')
+    __slots__ = (
+        '_flows',
+        '_health',
+        '_journal',
+        '_reporter',
+        '_transport',
+        '_unknown_flows',
+    )
 
     def __init__(
         self,
@@ -47,12 +55,14 @@
         reporter: LoadReporter,
         health: UpstreamHealth,
         flows: FlowTable,
+        unknown_flows: UnknownFlows,
         transport: Transport,
         journal: Journal,
     ) -> None:
         self._reporter = reporter
         self._health = health
         self._flows = flows
+        self._unknown_flows = unknown_flows
         self._transport = transport
         self._journal = journal
 
@@ -71,6 +81,7 @@
             return
         if flow is None:
             flow = self._flows.add(packet.flow, state=OFFERED, now=now)
+            self._unknown_flows.record_offered(packet.flow)
         flow.mark_offered(packet, address, now)
         self._reporter.mark_changed()
         # Without this report within 0.1 s, the balancer offers the flow to
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -1,6 +1,6 @@
 """Forward the packets of an upstream's flows in both directions."""
 
-from bluebellfold.core import Packet, format_flow
+from bluebellfold.core import Packet, Sentinel, format_flow
 from bluebellfold.relay.agents import (
     DECLINED_REJECTED,
     DOWN,
@@ -30,6 +30,7 @@
 from bluebellfold.relay.upstreams.transport import Transport
 from bluebellfold.relay.upstreams.unknown_flows import (
     UPSTREAM_DOWN,
+    Denial,
     UnknownFlows,
 )
 
@@ -137,7 +138,7 @@
 
     def _reply_unknown(self, flow: bytes, now: float) -> FlowMessage:
         """Return the reply to a lookup of a flow outside the flow table."""
-        denies = self._denies(flow, now)
+        denies = bool(self._judge(flow, now))
         owner = self._directory.find(flow)
         if owner is not None:
             return FlowOwner(flow=flow, owner=owner, denies=denies)
@@ -146,29 +147,32 @@
     def _forward_unknown_flow(
         self, packet: Packet, address: Address, now: float
     ) -> None:
-        if self._denies(packet.flow, now):
+        judgement = self._judge(packet.flow, now)
+        if judgement:
             self._return_packet(packet, address)
             return
         # The upstream returns the packet if it doesn't hold the flow.
         self._probes.setdefault(packet.flow, {})[address] = packet
         self._journal.count('packets-of-unknown-flows')
+        self._journal.log(
+            'BBF0745', flow=format_flow(packet.flow), doubt=judgement.name
+        )
         self._transport.send_to_upstream(packet, address)
 
-    def _denies(self, flow: bytes, now: float) -> bool:
-        """Tell whether the upstream doesn't hold a flow outside the table."""
+    def _judge(self, flow: bytes, now: float) -> Denial | Sentinel:
+        """Return a Denial if the upstream doesn't hold a flow, else why not."""
         judgement = self._unknown_flows.judge(
-            now, idle_seconds=self._reporter.idle_seconds
+            flow, now, idle_seconds=self._reporter.idle_seconds
         )
         if not judgement and self._health.state(now) == DOWN:
             judgement = UPSTREAM_DOWN
-        if not judgement:
-            return False
-        self._journal.log(
-            'BBF0744',
-            flow=format_flow(flow),
-            evidence=judgement.evidence,
-        )
-        return True
+        if judgement:
+            self._journal.log(
+                'BBF0744',
+                flow=format_flow(flow),
+                evidence=judgement.evidence,
+            )
+        return judgement
 
     def _handle_returned(self, packet: Packet) -> None:
         flow = self._flows.find(packet.flow)
@@ -181,6 +185,8 @@
         if flow is not None:
             self._flows.remove(packet.flow)
             self._reporter.mark_changed()
+        elif not packet.opens:
+            self._unknown_flows.record_returned(packet.flow)
         if balancer is None:
             self._journal.count('returned-without-balancer')
             return
@@ -242,6 +248,8 @@
                 Declined(packet=flow.opening_packet, reason=DECLINED_REJECTED),
             )
         probes = self._probes.pop(packet.flow, {})
+        if probes and flow is None:
+            self._unknown_flows.record_returned(packet.flow)
         for balancer, probe in probes.items():
             self._return_packet(probe, balancer)
 
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -18,7 +18,6 @@
 )
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.admission import FlowAdmission
-from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.forwarding import Forwarder
 from bluebellfold.relay.upstreams.health import UpstreamHealth
@@ -31,7 +30,6 @@
 from bluebellfold.relay.upstreams.transport import Transport
 from bluebellfold.relay.upstreams.unknown_flows import (
     PORT_CLOSED,
-    STARTED_LATER,
     UPSTREAM_RESTARTED,
     UnknownFlows,
 )
@@ -49,7 +47,6 @@
 
     __slots__ = (
         '_admission',
-        '_agent_start',
         '_flows',
         '_forwarder',
         '_health',
@@ -65,13 +62,11 @@
         *,
         zone: str,
         incarnation: int,
-        agent_start: AgentStart,
         health: UpstreamHealth,
         transport: Transport,
         journal: Journal,
         now: float,
     ) -> None:
-        self._agent_start = agent_start
         self._health = health
         self._journal = journal
         self._flows = FlowTable()
@@ -91,6 +86,7 @@
             reporter=self._reporter,
             health=health,
             flows=self._flows,
+            unknown_flows=self._unknown_flows,
             transport=transport,
             journal=journal,
         )
@@ -142,8 +138,6 @@
             self._journal.count('announcements-older')
             self._log_verdict('BBF0727', verdict, announcement, known)
             return False
-        if known is None:
-            self._compare_starts(announcement, now)
         if verdict.restarted:
             self._log_verdict('BBF0743', verdict, announcement, known)
             self._performance.reset(now)
@@ -246,19 +240,6 @@
             known_sequence=known.sequence,
         )
 
-    def _compare_starts(self, announcement: Announcement, now: float) -> None:
-        """Mark the flow table complete if the upstream started later."""
-        started_later = self._agent_start.precedes(announcement, now)
-        self._journal.log(
-            'BBF0742',
-            upstream=announcement.name,
-            born=announcement.born,
-            agent_created=self._agent_start.created_ms,
-            younger=started_later,
-        )
-        if started_later:
-            self._unknown_flows.record_no_flows(STARTED_LATER)
-
     def _forget_flows(self, reason: str) -> None:
         forgotten = self._flows.clear()
         self._reporter.mark_changed()
--- a/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
+++ b/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
@@ -6,8 +6,14 @@
     FlowNotFound,
     FlowUncertain,
     ForwardedPacket,
+    ReturnedPacket,
+)
+from bluebellfold.relay.balancers import balancer_tag
+from bluebellfold.relay.tests.harness import (
+    UPSTREAM_START_MS,
+    Agent,
+    subscribe_of,
 )
-from bluebellfold.relay.tests.harness import subscribe_of
 from bluebellfold.relay.upstreams.tests.harness import (
     ANSWER,
     BALANCER,
@@ -18,6 +24,14 @@
     offer,
     with_complete_flow_table,
 )
+from bluebellfold.relay.upstreams.unknown_flows import UnknownFlows
+from bluebellfold.standins.packets import (
+    ACKNOWLEDGE,
+    RESET,
+    client_packet,
+    returned_packet,
+    upstream_packet,
+)
 
 
 def pass_time(agent, seconds, *, idle_seconds, balancer=BALANCER):
@@ -102,3 +116,95 @@
     agent.advance(5)
     pass_time(agent, 15, idle_seconds=0)
     assert denies(agent)
+
+
+# Guards against FLOW broken by an agent that compared its start time with that
+# of its upstream, which had started on a clock that was ahead.
+@pytest.mark.parametrize('ahead_ms', [-5000, 0, 200, 2000, 60_000])
+def test_start_time_of_the_upstream_is_no_evidence(ahead_ms):
+    agent = agent_with_balancer(announced=False)
+    agent.advance(0.4)
+    agent.announce(born=UPSTREAM_START_MS + ahead_ms)
+    assert not denies(agent)
+
+
+def test_lookup_is_uncertain_before_the_first_announcement():
+    assert not denies(agent_with_balancer(announced=False))
+
+
+def test_lookup_is_uncertain_after_a_restart_of_the_upstream():
+    # Flows may have opened at the upstream before its announcement.
+    agent = with_complete_flow_table(agent_with_balancer())
+    assert denies(agent)
+    agent.announce(born=UPSTREAM_START_MS + 100, sequence=1, name='i-2')
+    assert not denies(agent)
+
+
+def test_closed_port_shows_that_there_is_no_flow():
+    agent = agent_with_balancer()
+    agent.relay.handle_refusal(agent.now)
+    assert denies(agent)
+
+
+@pytest.mark.parametrize('ending', ['returned', 'reset'])
+def test_flow_that_the_upstream_gave_back_is_denied(ending):
+    agent = agent_with_balancer()
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    gives_back = {
+        'returned': returned_packet(DATA, tag=balancer_tag(BALANCER)),
+        'reset': upstream_packet(flags=RESET),
+    }
+    agent.receive_upstream_packet(gives_back[ending])
+    assert agent.transport.pop_messages(ReturnedPacket)
+    assert denies(agent)
+
+
+def test_flow_that_is_offered_again_is_no_longer_denied():
+    agent = agent_with_balancer()
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    agent.receive_upstream_packet(
+        returned_packet(DATA, tag=balancer_tag(BALANCER))
+    )
+    assert denies(agent)
+    offer(agent)
+    agent.receive_upstream_packet(ANSWER)
+    # The flow table is cleared, but the upstream may still hold the flow.
+    agent.announce(born=UPSTREAM_START_MS + 100, sequence=1, name='i-2')
+    assert not denies(agent)
+
+
+def test_flow_lost_in_a_power_failure_costs_its_upstream_one_packet():
+    # The upstream has just started, like its agent. Clients send packets of
+    # flows from before, several times, through whichever balancer.
+    agent = Agent()
+    balancers = [(f'10.1.0.{number}', 7720) for number in range(1, 7)]
+    lost = [
+        client_packet(
+            source=('100.64.0.9', port), flags=ACKNOWLEDGE, payload=b'GET /'
+        )
+        for port in range(1000, 1500)
+    ]
+    for balancer in balancers:
+        agent.receive_message(balancer, subscribe_of())
+    for balancer in balancers:
+        for packet in lost:
+            sent = len(agent.transport.delivered)
+            agent.receive_message(balancer, ForwardedPacket(packet=packet))
+            if len(agent.transport.delivered) > sent:
+                agent.receive_upstream_packet(
+                    returned_packet(packet, tag=balancer_tag(balancer))
+                )
+    assert len(agent.transport.delivered) == len(lost)
+    returned = agent.transport.pop_messages(ReturnedPacket)
+    assert len(returned) == len(lost) * len(balancers)
+
+
+def test_memory_of_returned_flows_is_bounded():
+    unknown_flows = UnknownFlows(now=0, max_returned=2)
+    flows = (b'a', b'b', b'c')
+    for flow in flows:
+        unknown_flows.record_returned(flow)
+    judgements = [
+        bool(unknown_flows.judge(each, 1, idle_seconds=15)) for each in flows
+    ]
+    assert judgements == [False, True, True]
--- a/bluebellfold/relay/upstreams/unknown_flows.py
+++ b/bluebellfold/relay/upstreams/unknown_flows.py
@@ -2,11 +2,19 @@
 
 A balancer resets a flow once every agent has denied it, so an agent denies a
 flow on evidence only. While it has none, it sends the packets of the flow to
-the upstream, which returns what it doesn't hold.
+the upstream, which returns what it doesn't hold. No time of day is evidence:
+clocks are set back and forth between the starts of an agent and its upstream.
+
+Load pattern: after a power loss, clients send packets of thousands of flows
+that no longer exist. Forwarding all of them from every balancer to each
+upstream would delay new flows by seconds, so an agent remembers what its
+upstream returned, and each such flow costs each upstream one packet.
 """
 
 from bluebellfold.core import Record, Sentinel, read_only
 
+# Limits memory to about 3 MB.
+MAX_RETURNED_FLOWS = 20_000
 _NEVER = float('-inf')
 
 
@@ -23,7 +31,7 @@
 
 IDLE_TIME_PASSED = Denial(evidence='idle-time-passed')
 PORT_CLOSED = Denial(evidence='port-closed')
-STARTED_LATER = Denial(evidence='upstream-started-later')
+RETURNED = Denial(evidence='returned-by-upstream')
 UPSTREAM_DOWN = Denial(evidence='upstream-down')
 
 AGENT_STARTED = Sentinel(
@@ -46,24 +54,53 @@
     Each gap in the table has a moment: flows in the gap have had no packet
     since. Once the idle time in force has passed since the latest such moment,
     they have expired.
-    """
 
-    __slots__ = ('_doubt', '_evidence', '_no_packet_since')
+    All opening packets pass the agent. A flow that the upstream has returned
+    can't open there until the agent offers it again.
+    """
 
-    def __init__(self, *, now: float) -> None:
+    __slots__ = (
+        '_doubt',
+        '_evidence',
+        '_max_returned',
+        '_no_packet_since',
+        '_returned',
+    )
+
+    def __init__(
+        self, *, now: float, max_returned: int = MAX_RETURNED_FLOWS
+    ) -> None:
+        self._max_returned = max_returned
+        # In the order in which they were returned.
+        self._returned: dict[bytes, None] = {}
         self._no_packet_since = now
         self._doubt = AGENT_STARTED
         self._evidence = IDLE_TIME_PASSED
 
-    def judge(self, now: float, *, idle_seconds: float) -> Denial | Sentinel:
-        """Return a Denial if the upstream holds no unknown flow, else why not.
+    def judge(
+        self, flow: bytes, now: float, *, idle_seconds: float
+    ) -> Denial | Sentinel:
+        """Return a Denial if the upstream doesn't hold a flow, else why not.
 
-        ``idle_seconds`` is the time after which flows expire at present.
+        The flow isn't in the flow table. ``idle_seconds`` is the time after
+        which flows expire at present.
         """
+        if flow in self._returned:
+            return RETURNED
         if now - self._no_packet_since > idle_seconds:
             return self._evidence
         return self._doubt
 
+    def record_returned(self, flow: bytes) -> None:
+        """Record that the upstream has returned or reset an unknown flow."""
+        self._returned[flow] = None
+        if len(self._returned) > self._max_returned:
+            self._returned.pop(next(iter(self._returned)))
+
+    def record_offered(self, flow: bytes) -> None:
+        """Record that a flow is offered to the upstream."""
+        self._returned.pop(flow, None)
+
     def record_no_flows(self, evidence: Denial) -> None:
         """Record that the upstream holds no flow at this moment."""
         self._no_packet_since = _NEVER
--- a/bluebellfold/soak/upstream_faults.py
+++ b/bluebellfold/soak/upstream_faults.py
@@ -1,13 +1,14 @@
 """Crash and drain upstreams."""
 
 import asyncio
+import time
 from http import HTTPStatus
 
 from bluebellfold.core import PlatformUnavailableError
 from bluebellfold.soak.faults import FAULTS
 from bluebellfold.soak.invariants import DRAIN_GRACE_SECONDS
 from bluebellfold.soak.plan import ScheduledFault
-from bluebellfold.soak.site import SoakSite
+from bluebellfold.soak.site import MS_PER_SECOND, SoakSite
 
 CLOCK_STEP_MS = 2000
 # A draining upstream is observed for this long after the grace time.
@@ -40,6 +41,23 @@
     site.release(f'upstream-{index}')
 
 
+@FAULTS.add('upstream-started-on-a-clock-ahead')
+async def start_on_a_clock_ahead(site: SoakSite, fault: ScheduledFault) -> None:
+    """Restart an upstream on a clock that is ahead, and then its agent."""
+    index = fault.target % len(site.upstreams)
+    component = f'upstream-{index}'
+    if not site.try_acquire(component):
+        return
+    site.crash_upstream(index)
+    ahead_ms = round(time.time() * MS_PER_SECOND) + CLOCK_STEP_MS
+    site.start_upstream(
+        index, clock_step_ms=ahead_ms - site.incarnations[index]
+    )
+    await asyncio.sleep(fault.seconds / 10)
+    await FAULTS.find('agent-stopped')(site, fault.replace(target=index))
+    site.release(component)
+
+
 @FAULTS.add('upstream-drained')
 async def drain_upstream(site: SoakSite, fault: ScheduledFault) -> None:
     """Drain an upstream and replace it."""
