Take an upstream's service from the agent's settings

Cause: the service of the first announcement replaced the one of the agent's settings.

Change: an announcement of another service isn't applied and gets 409 (BBF0727 other-service). A deregistration that names none but another start gets 409 too, and ends that start as a candidate.

--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -5,11 +5,13 @@
 import json
 from contextlib import asynccontextmanager
 from functools import partial
+from http import HTTPStatus
 
 import pytest
 
 from bluebellfold.standins.relay_peers import FlowResetError
 from bluebellfold.standins.relay_site import (
+    ANNOUNCEMENT_INTERVAL_MS,
     SERVICE,
     UPSTREAM_START_MS,
     RelaySite,
@@ -166,6 +168,25 @@
     asyncio.run(scenario())
 
 
+# Guards against a drain that is acknowledged and never applied: the reply to an
+# announcement has to say whether it is in force.
+def test_announcement_that_is_not_applied_is_not_acknowledged(tmp_path):
+    async def run():
+        async with run_site(tmp_path, announcing=False) as site:
+            statuses = [await site.announce(0, born=UPSTREAM_START_MS - 2400)]
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                while statuses[-1] != HTTPStatus.OK:
+                    await asyncio.sleep(ANNOUNCEMENT_INTERVAL_MS / 1000)
+                    statuses.append(
+                        await site.announce(0, born=UPSTREAM_START_MS - 2400)
+                    )
+            return statuses
+
+    statuses = asyncio.run(run())
+    assert statuses[0] == HTTPStatus.CONFLICT
+    assert len(statuses) >= 2
+
+
 def test_flow_is_reset_after_its_upstream_has_lost_it(tmp_path):
     async def scenario():
         async with run_site(tmp_path) as site:
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -185,8 +185,10 @@
 
     @reactions.add(ApplyDeregistration)
     def _apply_deregistration(self, message: ApplyDeregistration) -> None:
-        self._relay.apply_deregistration(message.name, self._clock.now())
-        message.reply.put(True)
+        applied = self._relay.apply_deregistration(
+            message.name, self._clock.now()
+        )
+        message.reply.put(applied)
 
     @reactions.add(StopWhenIdle)
     def _begin_stop(self, message: StopWhenIdle) -> None:
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -4,6 +4,7 @@
 from bluebellfold.relay.agents import DOWN, DRAINING, READY, UNKNOWN
 from bluebellfold.relay.upstreams.start_order import (
     MAX_MISSED_INTERVALS,
+    OTHER_SERVICE,
     StartOrder,
     StartVerdict,
 )
@@ -55,9 +56,8 @@
 
     @property
     def service(self) -> str:
-        """Return the service of the upstream."""
-        known = self.announcement
-        return self._service if known is None else known.service
+        """Return the service of the upstream, as the settings name it."""
+        return self._service
 
     @property
     def slots(self) -> int:
@@ -95,7 +95,13 @@
     def apply_announcement(
         self, announcement: Announcement, now: float
     ) -> StartVerdict:
-        """Apply an announcement, unless another start is the current one."""
+        """Apply an announcement, unless another start is the current one.
+
+        The upstream that had the address before may have belonged to another
+        service, and an announcement of it may arrive late.
+        """
+        if announcement.service != self._service:
+            return OTHER_SERVICE
         verdict = self._order.judge(announcement, now)
         if verdict.accepted:
             self.mark_alive(now)
--- a/bluebellfold/relay/upstreams/messages.py
+++ b/bluebellfold/relay/upstreams/messages.py
@@ -17,7 +17,7 @@
 
 
 class ApplyDeregistration(Message):
-    """Record that the upstream has deregistered; reply when it is recorded."""
+    """Record that the upstream has deregistered; reply whether it applies."""
 
     __slots__ = ('_name', '_reply')
 
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -146,10 +146,12 @@
         self._reporter.report_state_change(now, announcement)
         return True
 
-    def apply_deregistration(self, name: str, now: float) -> None:
-        """Record that the named upstream has deregistered."""
-        if self._health.apply_deregistration(name):
-            self._reporter.report_state_change(now)
+    def apply_deregistration(self, name: str, now: float) -> bool:
+        """Record that an upstream has deregistered; return False if unknown."""
+        if not self._health.apply_deregistration(name):
+            return False
+        self._reporter.report_state_change(now)
+        return True
 
     def stop(self, now: float) -> None:
         """Report the upstream as draining, since the agent is to stop."""
@@ -226,18 +228,24 @@
         event: str,
         verdict: StartVerdict,
         announcement: Announcement,
-        known: Announcement,
+        known: Announcement | None,
     ) -> None:
+        fields = {}
+        if known is not None:
+            fields = {
+                'known_upstream': known.name,
+                'known_born': known.born,
+                'known_sequence': known.sequence,
+            }
         self._journal.log(
             event,
             upstream=announcement.name,
+            service=announcement.service,
             born=announcement.born,
             sequence=announcement.sequence,
             draining=announcement.draining,
             reason=verdict.evidence,
-            known_upstream=known.name,
-            known_born=known.born,
-            known_sequence=known.sequence,
+            **fields,
         )
 
     def _forget_flows(self, reason: str) -> None:
--- a/bluebellfold/relay/upstreams/start_order.py
+++ b/bluebellfold/relay/upstreams/start_order.py
@@ -47,6 +47,8 @@
 SAME_START = StartVerdict(accepted=True, evidence='same-start')
 # A newer announcement, or one of a later start, was already applied.
 OLDER_ANNOUNCEMENT = StartVerdict(accepted=False, evidence='older-announcement')
+# The announcement is of an upstream of another service.
+OTHER_SERVICE = StartVerdict(accepted=False, evidence='other-service')
 # Nothing shows yet that the known start is gone.
 UNCONFIRMED_START = StartVerdict(accepted=False, evidence='unconfirmed-start')
 
@@ -218,6 +220,8 @@
             self._deregistered_name = name
             return True
         if known.announcement.name != name:
+            # A start that isn't the known one is no candidate any longer.
+            self._forget_candidates(name)
             return False
         known.deregistered = True
         return True
@@ -255,6 +259,11 @@
             return OLDER_ANNOUNCEMENT
         return UNCONFIRMED_START
 
+    def _forget_candidates(self, name: str) -> None:
+        for key in tuple(self._candidates):
+            if key[0] == name:
+                self._candidates.pop(key)
+
     def _intervals_since(self, moment: float, now: float) -> float:
         return (now - moment) / self._interval_seconds
 
--- a/bluebellfold/relay/upstreams/tests/test_start_order.py
+++ b/bluebellfold/relay/upstreams/tests/test_start_order.py
@@ -6,6 +6,7 @@
 
 from bluebellfold.relay.agents import (
     DECLINED_DRAINING,
+    DECLINED_OTHER_SERVICE,
     DOWN,
     DRAINING,
     READY,
@@ -93,6 +94,19 @@
     assert agent.announce(sequence=5, draining=True)
 
 
+# Guards against ROUTE broken by a late announcement of the upstream that had
+# the address before: the agent of the new one admitted flows of its service.
+def test_late_announcement_of_another_service_is_not_applied():
+    agent = agent_with_balancer(announced=False)
+    assert not agent.announce(service='makeroom', name='i-0')
+    offer(agent, service='makeroom')
+    declined = single(agent.transport.pop_messages(Declined))
+    assert declined.reason == DECLINED_OTHER_SERVICE
+    assert agent.announce()
+    assert not agent.announce(service='makeroom', name='i-0', sequence=9)
+    assert agent.relay.state(agent.now) == READY
+
+
 def test_late_deregistration_of_the_same_name_ends_no_later_start():
     agent = agent_with_balancer()
     agent.announce(born=LATER_MS)
@@ -103,6 +117,15 @@
     assert agent.relay.state(agent.now) == READY
 
 
+def test_start_that_deregistered_is_no_candidate_any_longer():
+    agent = agent_with_balancer()
+    agent.advance(0.4)
+    assert not agent.announce(born=EARLIER_MS, name='i-2')
+    assert not agent.relay.apply_deregistration('i-2', agent.now)
+    agent.advance(2)
+    assert not agent.announce(born=EARLIER_MS, name='i-2', sequence=2)
+
+
 def test_late_announcement_of_a_deregistered_start_is_ignored():
     agent = agent_with_balancer()
     agent.relay.apply_deregistration('i-1', agent.now)
