Hold the starts of an upstream behind properties

KnownStart and Candidate had public attributes that StartOrder wrote; they now have methods that change them and properties, as the house style asks, and keyword-only constructors.

--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -27,10 +27,7 @@
 from bluebellfold.relay.upstreams.load_reporter import LoadReporter
 from bluebellfold.relay.upstreams.performance import Performance
 from bluebellfold.relay.upstreams.transport import Transport
-from bluebellfold.relay.upstreams.unknown_flows import (
-    Denial,
-    UnknownFlows,
-)
+from bluebellfold.relay.upstreams.unknown_flows import Denial, UnknownFlows
 
 MS_PER_SECOND = 1000
 
--- a/bluebellfold/relay/upstreams/start_order.py
+++ b/bluebellfold/relay/upstreams/start_order.py
@@ -56,29 +56,64 @@
 class KnownStart:
     """Hold the last announcement of a start, and whether the start ended."""
 
-    __slots__ = ('announced_at', 'announcement', 'deregistered', 'port_closed')
+    __slots__ = (
+        '_announced_at',
+        '_announcement',
+        '_deregistered',
+        '_port_closed',
+    )
+
+    def __init__(self, *, announcement: Announcement, now: float) -> None:
+        self._announced_at = now
+        self._announcement = announcement
+        self._deregistered = False
+        self._port_closed = False
+
+    @property
+    def announced_at(self) -> float:
+        """Return when the start last announced itself."""
+        return self._announced_at
 
-    def __init__(self, announcement: Announcement, now: float) -> None:
-        self.announcement = announcement
-        self.announced_at = now
-        self.deregistered = False
-        self.port_closed = False
+    @property
+    def announcement(self) -> Announcement:
+        """Return the last announcement of the start."""
+        return self._announcement
 
     @property
-    def key(self) -> StartKey:
-        """Return what identifies the start."""
-        return self.announcement.start
+    def deregistered(self) -> bool:
+        """Tell whether the start has deregistered."""
+        return self._deregistered
 
     @property
     def ended(self) -> bool:
         """Tell whether the start has deregistered or closed its port."""
-        return self.deregistered or self.port_closed
+        return self._deregistered or self._port_closed
+
+    def continues_with(self, announcement: Announcement) -> bool:
+        """Tell whether an announcement is the next one of the start.
+
+        A start sends nothing after its deregistration. If it does, the
+        deregistration was a late one of an earlier start with the same name.
+        """
+        return (
+            announcement.start == self._announcement.start
+            and announcement.sequence >= self._announcement.sequence
+            and not self._deregistered
+        )
 
     def renew(self, announcement: Announcement, now: float) -> None:
         """Record a further announcement of the start."""
-        self.announcement = announcement
-        self.announced_at = now
-        self.port_closed = False
+        self._announced_at = now
+        self._announcement = announcement
+        self._port_closed = False
+
+    def mark_deregistered(self) -> None:
+        """Record that the start has deregistered."""
+        self._deregistered = True
+
+    def mark_port_closed(self) -> None:
+        """Record that the port of the start is closed."""
+        self._port_closed = True
 
 
 class Candidate:
@@ -89,32 +124,62 @@
     """
 
     __slots__ = (
-        'announcement',
-        'first_heard_at',
-        'first_sequence',
-        'heard_intervals',
-        'known_silent_intervals',
-        'was_replaced',
+        '_announcement',
+        '_first_heard_at',
+        '_first_sequence',
+        '_heard_intervals',
+        '_known_silent_intervals',
+        '_was_replaced',
     )
 
     def __init__(
         self, *, announcement: Announcement, was_replaced: bool, now: float
     ) -> None:
-        self.announcement = announcement
-        self.first_heard_at = now
-        self.first_sequence = announcement.sequence
-        self.was_replaced = was_replaced
-        self.heard_intervals = float(0)
-        self.known_silent_intervals = float(0)
+        self._announcement = announcement
+        self._first_heard_at = now
+        self._first_sequence = announcement.sequence
+        self._heard_intervals = float(0)
+        self._known_silent_intervals = float(0)
+        self._was_replaced = was_replaced
+
+    @property
+    def announcement(self) -> Announcement:
+        """Return the last announcement of the candidate."""
+        return self._announcement
+
+    @property
+    def known_silent_intervals(self) -> float:
+        """Return how long the known start had been silent by then."""
+        return self._known_silent_intervals
+
+    @property
+    def was_replaced(self) -> bool:
+        """Tell whether the candidate was the known start before."""
+        return self._was_replaced
 
     @property
     def keeps_announcing(self) -> bool:
         """Tell whether announcements arrive that weren't held up together."""
         return (
-            self.announcement.sequence > self.first_sequence
-            and self.heard_intervals >= MIN_CONFIRMING_INTERVALS
+            self._announcement.sequence > self._first_sequence
+            and self._heard_intervals >= MIN_CONFIRMING_INTERVALS
         )
 
+    def renew(
+        self,
+        announcement: Announcement,
+        now: float,
+        *,
+        known: KnownStart,
+        interval_seconds: float,
+    ) -> None:
+        """Record an announcement of the candidate."""
+        self._announcement = announcement
+        heard_seconds = now - self._first_heard_at
+        silent_seconds = now - known.announced_at
+        self._heard_intervals = heard_seconds / interval_seconds
+        self._known_silent_intervals = silent_seconds / interval_seconds
+
 
 ReplacementRule = Callable[[KnownStart, Candidate], bool]
 REPLACEMENT_RULES: Registry[str, ReplacementRule] = Registry(
@@ -197,19 +262,18 @@
             self._adopt(announcement, now)
             self.mark_deregistered(self._deregistered_name)
             return FIRST_START
-        if _continues(known, announcement):
+        if known.continues_with(announcement):
             known.renew(announcement, now)
             self._candidates.clear()
             return SAME_START
         candidate = self._find_candidate(known, announcement, now)
         if announcement.sequence < candidate.announcement.sequence:
             return OLDER_ANNOUNCEMENT
-        candidate.announcement = announcement
-        candidate.heard_intervals = self._intervals_since(
-            candidate.first_heard_at, now
-        )
-        candidate.known_silent_intervals = self._intervals_since(
-            known.announced_at, now
+        candidate.renew(
+            announcement,
+            now,
+            known=known,
+            interval_seconds=self._interval_seconds,
         )
         return self._judge_candidate(known, candidate, now)
 
@@ -223,13 +287,13 @@
             # A start that isn't the known one is no candidate any longer.
             self._forget_candidates(name)
             return False
-        known.deregistered = True
+        known.mark_deregistered()
         return True
 
     def mark_port_closed(self) -> None:
         """Record that the upstream's port is closed."""
         if self._known is not None:
-            self._known.port_closed = True
+            self._known.mark_port_closed()
 
     def _find_candidate(
         self, known: KnownStart, announcement: Announcement, now: float
@@ -239,7 +303,8 @@
         if candidate is None:
             candidate = Candidate(
                 announcement=announcement,
-                was_replaced=key in self._replaced or key == known.key,
+                was_replaced=key in self._replaced
+                or key == known.announcement.start,
                 now=now,
             )
             self._candidates[key] = candidate
@@ -264,26 +329,13 @@
             if key[0] == name:
                 self._candidates.pop(key)
 
-    def _intervals_since(self, moment: float, now: float) -> float:
-        return (now - moment) / self._interval_seconds
-
     def _adopt(self, announcement: Announcement, now: float) -> None:
         if self._known is not None:
-            self._replaced[self._known.key] = None
+            self._replaced[self._known.announcement.start] = None
             _forget_oldest(self._replaced)
         self._replaced.pop(announcement.start, None)
         self._candidates.clear()
-        self._known = KnownStart(announcement, now)
-
-
-def _continues(known: KnownStart, announcement: Announcement) -> bool:
-    # A start sends nothing after its deregistration. If it does, the
-    # deregistration was a late one of an earlier start with the same name.
-    return (
-        announcement.start == known.key
-        and announcement.sequence >= known.announcement.sequence
-        and not known.deregistered
-    )
+        self._known = KnownStart(announcement=announcement, now=now)
 
 
 def _forget_oldest(remembered: dict[StartKey, Any]) -> None:
