Number the stand-in's responses after its opening answer

The stand-in of an upstream sent each response with sequence number 0, whatever number its answer to the opening packet had. An agent that learnt such a flow from a response took the client's acknowledgement, of the number after the opening answer, for that of another upstream, and returned its packets.

--- a/bluebellfold/standins/relay_peers.py
+++ b/bluebellfold/standins/relay_peers.py
@@ -108,8 +108,19 @@
             if self.on_request is not None:
                 self.on_request(text, self.name)
             texts[packet.sequence] = text
-        body = f'{self.name}:'.encode() + texts[packet.sequence]
-        self._send(packet, flags=ACKNOWLEDGE, payload=body)
+        self._send_response(packet, texts)
+
+    def _send_response(self, packet: Packet, texts: dict[int, bytes]) -> None:
+        # The responses on a flow follow each other in its sequence numbers.
+        sequence = self._sequences[packet.flow] + 1
+        for request_sequence, text in texts.items():
+            body = f'{self.name}:'.encode() + text
+            if request_sequence == packet.sequence:
+                self._send(
+                    packet, flags=ACKNOWLEDGE, sequence=sequence, payload=body
+                )
+                return
+            sequence += len(body)
 
     def _return_packet(self, packet: Packet) -> None:
         raw = encode_returned_packet(packet, tag=packet.tag)
