Reset no flow before the list of agents is known

Cause: an agent gave back a packet that it had sent to its upstream for the previous process at the balancer's address. A flow is reset once all known agents have denied it, and the new process knew none, so one denial was enough (BBF0706 with denied=0).

Change: before the first list of agents no denial is the last one.

--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -52,6 +52,7 @@
     __slots__ = (
         '_admission',
         '_agent_table',
+        '_agents_listed',
         '_agents_revision',
         '_flows',
         '_follower',
@@ -79,6 +80,7 @@
         self._journal = journal
         self._routes = ActiveRoutes()
         self._agent_table = AgentTable()
+        self._agents_listed = False
         self._agents_revision = 0
         self._newest_agents_revision = NewestVersion()
         self._flows = FlowCache()
@@ -167,6 +169,7 @@
         self, entries: Iterable[AgentEntry], now: float, *, revision: int = 0
     ) -> None:
         """Replace the list of agents by the given revision of the list."""
+        self._agents_listed = True
         self._agents_revision = revision
         change = self._follower.update_agents(entries, now, revision=revision)
         if change.added or change.removed:
@@ -296,9 +299,12 @@
     @property
     def _agents_complete(self) -> bool:
         # An agent that only other balancers know may hold a flow that no known
-        # agent holds.
-        return not self._newest_agents_revision.is_newer_than(
-            self._agents_revision
+        # agent holds. Before the first list, no agent is known at all.
+        return (
+            self._agents_listed
+            and not self._newest_agents_revision.is_newer_than(
+                self._agents_revision
+            )
         )
 
     def _detect_pause(self, now: float) -> None:
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -17,6 +17,7 @@
     balancer_with,
 )
 from bluebellfold.relay.tests.harness import (
+    Balancer,
     report_of,
     versions_of,
 )
@@ -115,6 +116,16 @@
     ]
 
 
+# Guards against FLOW broken by a balancer that started without the store: it
+# knew no agent, and took the denial of one for that of all.
+def test_flow_is_not_reset_before_the_agents_are_listed():
+    balancer = Balancer(agents=None)
+    balancer.receive_packet(DATA)
+    balancer.receive_message(FIRST, ReturnedPacket(packet=DATA))
+    balancer.receive_message(FIRST, FlowNotFound(flow=DATA.flow))
+    assert not balancer.transport.resets
+
+
 def test_flow_is_reset_once_all_agents_report_it_not_found():
     balancer = balancer_with(report_of(), report_of())
     balancer.receive_packet(DATA)
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -199,7 +199,8 @@
             routes = table_of(route_to())
         if routes is not NO_ROUTES:
             self.relay.update_routes(routes, now=self.now)
-        self.list_agents(agents)
+        if agents is not None:
+            self.list_agents(agents)
 
     @property
     def now(self):
