Count start times where no balancer offered flows to an earlier agent

After a power loss each lost flow then costs each upstream a packet, which grows with the number of agents.

Change: the comparison is back as one half of the evidence. The other half rests on no clock: balancers tell in each subscription how many flows they have offered to the address, and an agent that has just started received none of them. If any subscriber has offered flows, an earlier agent served, and the upstream may hold flows of that time: doubt. Flows that the upstream returned stay remembered.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -402,6 +402,12 @@
     meaning='a packet of an unknown flow is sent to the upstream',
     remedy='the upstream returns it if it does not hold the flow',
 )
+register(
+    number='BBF0742',
+    level=logging.INFO,
+    meaning='an agent compared its start time with that of its upstream',
+    remedy=NO_REMEDY,
+)
 register(
     number='BBF0741',
     level=logging.WARNING,
--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -19,6 +19,7 @@
 from bluebellfold.relay.operators import AgentSettings, load_agent
 from bluebellfold.relay.store import AgentRegistrar
 from bluebellfold.relay.upstreams import (
+    AgentStart,
     AnnouncementServer,
     StopWhenIdle,
     UpstreamActor,
@@ -26,6 +27,13 @@
 )
 
 ROLE = 'agent'
+MS_PER_SECOND = 1000
+# Time from the creation of the process until it is ready. After a power loss
+# of a test system, upstreams started 0.26 to 0.38 s before their agents were
+# ready. If an agent needs less than this, its creation is estimated too early,
+# and an upstream that started up to the difference earlier, under a previous
+# agent, counts as started after the agent.
+STARTUP_MILLISECONDS = 400
 
 _log = logging.getLogger(__name__)
 
@@ -47,6 +55,7 @@
             zone=settings.process.zone,
             # Orders reports of this process after those of previous ones.
             incarnation=time.time_ns(),
+            agent_start=_agent_start(clock.now()),
             health=UpstreamHealth(
                 service=settings.service,
                 announcement_seconds=settings.announcement_seconds,
@@ -103,6 +112,15 @@
         return True
 
 
+def _agent_start(now: float) -> AgentStart:
+    ready_ms = round(time.time() * MS_PER_SECOND)
+    return AgentStart(
+        created_ms=ready_ms - STARTUP_MILLISECONDS,
+        ready_ms=ready_ms,
+        ready_at=now,
+    )
+
+
 def main(path: str = '') -> int:
     """Run an agent with the settings at ``path``; return the exit code."""
     settings_path = path or os.environ.get(SETTINGS_VARIABLE, '')
--- a/bluebellfold/model/machines.py
+++ b/bluebellfold/model/machines.py
@@ -28,6 +28,7 @@
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.callers.relay import ClientRelay
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.relay import UpstreamRelay
 
@@ -38,6 +39,7 @@
 BALANCER_BOOT_SECONDS = 0.35
 AGENT_BOOT_SECONDS = 0.55
 NANOSECONDS = 1_000_000_000
+MS_PER_SECOND = 1000
 
 
 class World(Protocol):
@@ -72,6 +74,7 @@
     """
 
     __slots__ = (
+        '_created_ms',
         '_generation',
         '_world',
         'host',
@@ -86,6 +89,7 @@
         self.zone = zone
         self.is_running = False
         self._generation = 0
+        self._created_ms = 0
         self._world = world
 
     @property
@@ -96,6 +100,7 @@
     def start(self, *, booted: bool = False) -> None:
         """Start the process; it runs after the boot time unless ``booted``."""
         self._generation += 1
+        self._created_ms = round(self._world.timeline.now() * MS_PER_SECOND)
         delay = 0 if booted else self.boot_seconds
         self._world.timeline.call_later(
             delay, partial(self._boot, self._generation)
@@ -276,6 +281,11 @@
         self._relay = UpstreamRelay(
             zone=self.zone,
             incarnation=round(now * NANOSECONDS),
+            agent_start=AgentStart(
+                created_ms=self._created_ms,
+                ready_ms=round(now * MS_PER_SECOND),
+                ready_at=now,
+            ),
             health=UpstreamHealth(
                 service=self.service,
                 announcement_seconds=ANNOUNCEMENT_SECONDS,
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -32,6 +32,7 @@
 )
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.messages import (
     ApplyAnnouncement,
@@ -70,6 +71,7 @@
         upstream_endpoint: Endpoint,
         zone: str,
         incarnation: int,
+        agent_start: AgentStart,
         health: UpstreamHealth,
         clock: Clock,
         journal: Journal,
@@ -89,6 +91,7 @@
         self._relay = UpstreamRelay(
             zone=zone,
             incarnation=incarnation,
+            agent_start=agent_start,
             health=health,
             transport=self,
             journal=journal,
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -127,8 +127,11 @@
 
     def subscribe(
         self, message: Subscribe, address: Address, now: float
-    ) -> None:
-        """Subscribe a balancer, or renew its subscription."""
+    ) -> bool:
+        """Subscribe a balancer, or renew its subscription.
+
+        Return whether it wasn't subscribed.
+        """
         is_new = self._subscriptions.renew(
             address,
             idle_seconds=message.idle_seconds,
@@ -147,6 +150,7 @@
         if is_new or message.once:
             self.report_to(address, now)
         self._update_idle_time()
+        return is_new
 
     def report_state_change(
         self, now: float, announcement: Announcement | None = None
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -18,6 +18,7 @@
 )
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.admission import FlowAdmission
+from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.forwarding import Forwarder
 from bluebellfold.relay.upstreams.health import UpstreamHealth
@@ -47,6 +48,7 @@
 
     __slots__ = (
         '_admission',
+        '_agent_start',
         '_flows',
         '_forwarder',
         '_health',
@@ -62,11 +64,13 @@
         *,
         zone: str,
         incarnation: int,
+        agent_start: AgentStart,
         health: UpstreamHealth,
         transport: Transport,
         journal: Journal,
         now: float,
     ) -> None:
+        self._agent_start = agent_start
         self._health = health
         self._journal = journal
         self._flows = FlowTable()
@@ -138,6 +142,8 @@
             self._journal.count('announcements-older')
             self._log_verdict('BBF0727', verdict, announcement, known)
             return False
+        if known is None:
+            self._compare_starts(announcement, now)
         if verdict.restarted:
             self._log_verdict('BBF0743', verdict, announcement, known)
             self._performance.reset(now)
@@ -197,7 +203,10 @@
     def _handle_subscribe(
         self, message: Subscribe, address: Address, now: float
     ) -> None:
-        self._reporter.subscribe(message, address, now)
+        if self._reporter.subscribe(message, address, now):
+            self._unknown_flows.record_subscriber(
+                offers_sent=message.offers_sent
+            )
 
     @handle_message.register
     def _handle_offer(
@@ -248,6 +257,18 @@
             **fields,
         )
 
+    def _compare_starts(self, announcement: Announcement, now: float) -> None:
+        started_later = self._agent_start.precedes(announcement, now)
+        self._journal.log(
+            'BBF0742',
+            upstream=announcement.name,
+            born=announcement.born,
+            agent_created=self._agent_start.created_ms,
+            younger=started_later,
+        )
+        if started_later:
+            self._unknown_flows.record_started_later()
+
     def _forget_flows(self, reason: str) -> None:
         forgotten = self._flows.clear()
         self._reporter.mark_changed()
--- a/bluebellfold/relay/upstreams/unknown_flows.py
+++ b/bluebellfold/relay/upstreams/unknown_flows.py
@@ -2,13 +2,17 @@
 
 A balancer resets a flow once every agent has denied it, so an agent denies a
 flow on evidence only. While it has none, it sends the packets of the flow to
-the upstream, which returns what it doesn't hold. No time of day is evidence:
-clocks are set back and forth between the starts of an agent and its upstream.
+the upstream, which returns what it doesn't hold.
 
 Load pattern: after a power loss, clients send packets of thousands of flows
 that no longer exist. Forwarding all of them from every balancer to each
-upstream would delay new flows by seconds, so an agent remembers what its
-upstream returned, and each such flow costs each upstream one packet.
+upstream would delay new flows by seconds. An agent remembers what its upstream
+returned, so that each such flow costs each upstream one packet. It denies them
+all if its upstream seems to have started after it and no balancer has offered
+flows to an earlier agent at its address. The start times alone are no evidence,
+since clocks are set back and forth: flows of an upstream that started before
+its agent were offered to an earlier agent, by balancers that count their
+offers.
 """
 
 from bluebellfold.core import Record, Sentinel, read_only
@@ -32,6 +36,7 @@
 IDLE_TIME_PASSED = Denial(evidence='idle-time-passed')
 PORT_CLOSED = Denial(evidence='port-closed')
 RETURNED = Denial(evidence='returned-by-upstream')
+STARTED_LATER = Denial(evidence='upstream-started-later')
 
 AGENT_STARTED = Sentinel(
     name='agent-started',
@@ -63,7 +68,9 @@
         '_evidence',
         '_max_returned',
         '_no_packet_since',
+        '_predecessor_offers',
         '_returned',
+        '_started_later',
     )
 
     def __init__(
@@ -72,6 +79,10 @@
         self._max_returned = max_returned
         # In the order in which they were returned.
         self._returned: dict[bytes, None] = {}
+        # The offers to earlier agents, as far as balancers told; None if none
+        # of them has subscribed yet.
+        self._predecessor_offers: int | None = None
+        self._started_later = False
         self._no_packet_since = now
         self._doubt = AGENT_STARTED
         self._evidence = IDLE_TIME_PASSED
@@ -88,8 +99,22 @@
             return RETURNED
         if now - self._no_packet_since > idle_seconds:
             return self._evidence
+        is_only_doubt = self._doubt is AGENT_STARTED and self._started_later
+        if is_only_doubt and self._predecessor_offers == 0:
+            return STARTED_LATER
         return self._doubt
 
+    def record_started_later(self) -> None:
+        """Record that the upstream seems to have started after the agent."""
+        self._started_later = True
+
+    def record_subscriber(self, *, offers_sent: int) -> None:
+        """Record how many flows a new subscriber had offered to this address.
+
+        This agent has received none of them, so they went to earlier agents.
+        """
+        self._predecessor_offers = (self._predecessor_offers or 0) + offers_sent
+
     def record_returned(self, flow: bytes) -> None:
         """Record that the upstream has returned or reset an unknown flow."""
         self._returned[flow] = None
