Forget the idle time that no balancer tells any longer

Cause: the agent kept the idle time told last, also that of a single sample. A raised idle time reaches followed agents only, so an agent without followers denied a flow by the old one when a restarted balancer looked it up.

The idle time now counts only while a subscription tells it; otherwise 60 s apply, for which the platform keeps a flow at most.

--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -20,8 +20,9 @@
 from bluebellfold.relay.upstreams.performance import Performance
 from bluebellfold.relay.upstreams.transport import Transport
 
-# Used until a balancer has sent the configured idle time. The platform keeps no
-# flow for longer without a packet.
+# Used while no balancer tells the configured idle time, which may have been
+# raised since one told it. The platform keeps no flow for longer without a
+# packet.
 DEFAULT_IDLE_SECONDS = 60.0
 # Flows stay in the table longer than clients may resume them.
 IDLE_MARGIN_SECONDS = 5.0
@@ -204,11 +205,9 @@
         self._update_idle_time()
 
     def _update_idle_time(self) -> None:
-        # A balancer without a configuration sends 0. While no balancer tells
-        # the idle time, the last one stays in force.
+        # A balancer without a configuration sends 0.
         told = self._subscriptions.idle_seconds
-        if told:
-            self._idle_seconds = told
+        self._idle_seconds = told or DEFAULT_IDLE_SECONDS
 
     def _send_report(
         self, address: Address, offers_seen: int, in_flight: int, now: float
