Confirm by a packet what few agents presume of a lost flow

Cause: the agent denied flows if its upstream seemed to have started after it and no subscriber told of offers to an earlier agent. Both rest on processes that may be gone and on wall clocks.

Start times now give a presumption, FlowPresumedAbsent. A balancer with denials of all other agents sends a packet of the flow to up to 3 agents that presume, and their upstreams return what they lack. If more presume, as after a power loss, it resets at once: no packets of lost flows are added there.

--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -1,6 +1,11 @@
 """Exchange messages with agents and select agents for new flows."""
 
 from bluebellfold.relay.agents.agent_entry import Address, AgentEntry
+from bluebellfold.relay.agents.agent_load import (
+    AgentLoad,
+    RequestStats,
+    Versions,
+)
 from bluebellfold.relay.agents.agent_table import (
     AgentTable,
     AgentTableChange,
@@ -25,21 +30,19 @@
     LOOKUP_MESSAGES,
     STATE_NAMES,
     UNKNOWN,
-    AgentLoad,
     Declined,
     FlowFound,
     FlowLookup,
     FlowMessage,
     FlowNotFound,
     FlowOwner,
+    FlowPresumedAbsent,
     FlowUncertain,
     ForwardedPacket,
     LoadReport,
     Offer,
-    RequestStats,
     ReturnedPacket,
     Subscribe,
-    Versions,
 )
 from bluebellfold.relay.agents.outbox import Outbox, split_datagram
 from bluebellfold.relay.agents.selection import (
@@ -88,6 +91,7 @@
     'FlowMessage',
     'FlowNotFound',
     'FlowOwner',
+    'FlowPresumedAbsent',
     'FlowUncertain',
     'ForwardedPacket',
     'LoadReport',
--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -4,7 +4,8 @@
 
 from bluebellfold.core import Record, read_only
 from bluebellfold.relay.agents.agent_entry import Address, AgentEntry
-from bluebellfold.relay.agents.messages import READY, AgentLoad
+from bluebellfold.relay.agents.agent_load import AgentLoad
+from bluebellfold.relay.agents.messages import READY
 
 # An agent reports at least every 0.2 s to a balancer that follows it; three
 # lost reports make it unreachable.
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from bluebellfold.core import Message, Packet, Registry, Sentinel
+from bluebellfold.relay.agents.agent_load import Versions
 from bluebellfold.relay.agents.load_fields import (
     check_range,
     pack_load,
@@ -18,13 +19,13 @@
     FlowLookup,
     FlowNotFound,
     FlowOwner,
+    FlowPresumedAbsent,
     FlowUncertain,
     ForwardedPacket,
     LoadReport,
     Offer,
     ReturnedPacket,
     Subscribe,
-    Versions,
 )
 
 # Idle seconds, offers sent, configuration version, agent list revision, one
@@ -122,10 +123,14 @@
 _SUBSCRIBE = 7
 _LOAD_REPORT = 8
 _OWNER = 11
+_PRESUMED_ABSENT = 12
 # Type number, followers of the agent.
 _REPORT_HEAD = struct.Struct('>BH')
 
 
+_register_flow_message(_PRESUMED_ABSENT, FlowPresumedAbsent)
+
+
 @ENCODERS.add(Offer)
 def _encode_offer(message: Offer) -> bytes:
     service = message.service.encode()
--- a/bluebellfold/relay/agents/load_fields.py
+++ b/bluebellfold/relay/agents/load_fields.py
@@ -2,12 +2,12 @@
 
 import struct
 
-from bluebellfold.relay.agents.messages import (
-    STATE_NAMES,
+from bluebellfold.relay.agents.agent_load import (
     AgentLoad,
     RequestStats,
     Versions,
 )
+from bluebellfold.relay.agents.messages import STATE_NAMES
 
 # Incarnation, sequence, offers seen, state, warming up, slots, requests
 # in flight, flows, configuration version, agent list revision, mean work
--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -4,7 +4,7 @@
 survive this, because they end at the clients and the upstreams. Each agent
 knows the flows of its upstream, so the balancer asks the agents about a flow
 that it doesn't know: first the flow's home agents, then all. A flow is reset
-only after every agent that is alive has denied it.
+only after every agent that is alive has denied it, or many presume it absent.
 """
 
 from bluebellfold.core import Packet, format_flow
@@ -15,6 +15,7 @@
     FlowLookup,
     FlowNotFound,
     FlowOwner,
+    FlowPresumedAbsent,
     FlowUncertain,
     ForwardedPacket,
     ReturnedPacket,
@@ -128,6 +129,21 @@
         lookup.record_not_found(address)
         self._conclude(message.flow, lookup, now, complete=agents_complete)
 
+    def handle_presumed_absent(
+        self,
+        message: FlowPresumedAbsent,
+        address: Address,
+        now: float,
+        *,
+        agents_complete: bool,
+    ) -> None:
+        """Record that an agent presumes that its upstream lacks a flow."""
+        lookup = self._lookups.find(message.flow)
+        if lookup is None:
+            return
+        lookup.record_presumed_absent(address)
+        self._conclude(message.flow, lookup, now, complete=agents_complete)
+
     def handle_owner(
         self,
         message: FlowOwner,
@@ -269,6 +285,8 @@
         ]
         if not lookup.is_not_found_at(candidates):
             return
+        if lookup.begin_confirmation():
+            return
         packet = lookup.queued_packets[-1]
         self._lookups.end(flow)
         self._flows.remove(flow)
--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -23,6 +23,11 @@
 # All agents are queried if no home agent has named the owner by then: several
 # round trips between zones.
 HOME_TIMEOUT_SECONDS = 0.03
+# A flow that at most this many agents only presume absent is confirmed by
+# sending its packet to their upstreams. After a power loss all agents presume
+# it, and the packets of thousands of flows to every upstream would delay new
+# flows by seconds.
+MAX_CONFIRMED_AGENTS = 3
 # A client has at most 16 packets in flight.
 MAX_QUEUED_PACKETS = 16
 # The next packet of the flow then starts a new lookup.
@@ -35,6 +40,7 @@
     __slots__ = (
         '_homes',
         '_not_found',
+        '_presumed_absent',
         '_queried_at',
         '_queued_packets',
         '_started_at',
@@ -46,6 +52,7 @@
         self._started_at = now
         self._queried_at = now
         self._not_found: set[Address] = set()
+        self._presumed_absent: set[Address] = set()
         self._uncertain: set[Address] = set()
         self._queued_packets: list[Packet] = []
 
@@ -99,8 +106,14 @@
     def record_not_found(self, agent: Address) -> None:
         """Record that an agent's upstream doesn't hold the flow."""
         self._not_found.add(agent)
+        self._presumed_absent.discard(agent)
         self._uncertain.discard(agent)
 
+    def record_presumed_absent(self, agent: Address) -> None:
+        """Record that an agent presumes that its upstream lacks the flow."""
+        if agent not in self._not_found:
+            self._presumed_absent.add(agent)
+
     def record_uncertain(self, agent: Address) -> None:
         """Record that an agent doesn't know whether it holds the flow."""
         if agent not in self._not_found:
@@ -111,8 +124,19 @@
         return agent in self._not_found
 
     def is_not_found_at(self, agents: Collection[Address]) -> bool:
-        """Return whether all the agents report that they lack the flow."""
-        return self._not_found.issuperset(agents)
+        """Return whether all the agents deny the flow or presume it absent."""
+        return (self._not_found | self._presumed_absent).issuperset(agents)
+
+    def begin_confirmation(self) -> bool:
+        """Let the upstreams confirm the absence that few agents presume.
+
+        Return whether there is anything to confirm.
+        """
+        if not 0 < len(self._presumed_absent) <= MAX_CONFIRMED_AGENTS:
+            return False
+        self._uncertain |= self._presumed_absent
+        self._presumed_absent.clear()
+        return True
 
     def pop_uncertain(self, now: float) -> tuple[Address, ...]:
         """Remove and return the uncertain agents that are due for a probe."""
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -17,6 +17,7 @@
     FlowFound,
     FlowNotFound,
     FlowOwner,
+    FlowPresumedAbsent,
     FlowUncertain,
     LoadReport,
     ReturnedPacket,
@@ -271,6 +272,17 @@
             message, address, now, agents_complete=complete
         )
 
+    @handle_message.register
+    def _handle_presumed_absent(
+        self, message: FlowPresumedAbsent, address: Address, now: float
+    ) -> None:
+        self._detect_pause(now)
+        self._agent_table.mark_heard(address, now)
+        complete = self._agents_complete
+        self._forwarder.handle_presumed_absent(
+            message, address, now, agents_complete=complete
+        )
+
     @handle_message.register
     def _handle_uncertain(
         self, message: FlowUncertain, address: Address, now: float
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -4,6 +4,7 @@
     FlowFound,
     FlowLookup,
     FlowNotFound,
+    FlowPresumedAbsent,
     FlowUncertain,
     ForwardedPacket,
     ReturnedPacket,
@@ -135,6 +136,49 @@
     assert balancer.transport.resets == [DATA]
 
 
+# Guards against FLOW broken by a denial that rests on start times alone.
+def test_presumed_absence_at_a_few_agents_is_confirmed_by_their_upstreams():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.receive_packet(DATA)
+    balancer.receive_message(FIRST, FlowNotFound(flow=DATA.flow))
+    balancer.receive_message(SECOND, FlowPresumedAbsent(flow=DATA.flow))
+    balancer.advance(0.1)
+    assert not balancer.transport.resets
+    assert balancer.transport.pop_messages(ForwardedPacket) == [
+        (SECOND, ForwardedPacket(packet=DATA))
+    ]
+    balancer.receive_message(SECOND, ReturnedPacket(packet=DATA))
+    assert balancer.transport.resets == [DATA]
+
+
+def test_presumed_absence_is_confirmed_once_another_agent_has_denied_late():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.receive_packet(DATA)
+    balancer.receive_message(SECOND, FlowPresumedAbsent(flow=DATA.flow))
+    balancer.advance(0.1)
+    assert not balancer.transport.pop_messages(ForwardedPacket)
+    balancer.receive_message(FIRST, FlowNotFound(flow=DATA.flow))
+    balancer.advance(0.1)
+    assert balancer.transport.pop_messages(ForwardedPacket)
+    balancer.receive_message(SECOND, FlowFound(flow=DATA.flow))
+    assert not balancer.transport.resets
+
+
+# Load pattern: after a power loss of all VMs, clients send packets of thousands
+# of lost flows, and every agent presumes only that it lacks them.
+def test_flow_that_many_agents_presume_absent_is_reset_without_packets():
+    agents = [(f'10.0.0.{number}', 8172) for number in range(1, 5)]
+    balancer = Balancer(agents=agents)
+    for address in agents:
+        balancer.receive_message(address, report_of())
+    balancer.transport.sent.clear()
+    balancer.receive_packet(DATA)
+    for address in agents:
+        balancer.receive_message(address, FlowPresumedAbsent(flow=DATA.flow))
+    assert balancer.transport.resets == [DATA]
+    assert not balancer.transport.pop_messages(ForwardedPacket)
+
+
 def test_all_returned_packets_are_forwarded_to_the_owner():
     # The cached owner has restarted and returns the packets that it receives.
     # A packet lost here is delayed until its client retransmits it.
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -10,6 +10,7 @@
     FlowMessage,
     FlowNotFound,
     FlowOwner,
+    FlowPresumedAbsent,
     FlowUncertain,
     ReturnedPacket,
 )
@@ -133,25 +134,29 @@
 
     def _reply_unknown(self, flow: bytes, now: float) -> FlowMessage:
         """Return the reply to a lookup of a flow outside the flow table."""
-        denies = bool(self._judge(flow, now))
+        judgement = self._judge(flow, now)
+        denies = bool(judgement) and not judgement.presumed
         owner = self._directory.find(flow)
         if owner is not None:
             return FlowOwner(flow=flow, owner=owner, denies=denies)
-        return FlowNotFound(flow=flow) if denies else FlowUncertain(flow=flow)
+        if denies:
+            return FlowNotFound(flow=flow)
+        if judgement:
+            return FlowPresumedAbsent(flow=flow)
+        return FlowUncertain(flow=flow)
 
     def _forward_unknown_flow(
         self, packet: Packet, address: Address, now: float
     ) -> None:
         judgement = self._judge(packet.flow, now)
-        if judgement:
+        if judgement and not judgement.presumed:
             self._return_packet(packet, address)
             return
         # The upstream returns the packet if it doesn't hold the flow.
         self._probes.setdefault(packet.flow, {})[address] = packet
         self._journal.count('packets-of-unknown-flows')
-        self._journal.log(
-            'BBF0745', flow=format_flow(packet.flow), doubt=judgement.name
-        )
+        doubt = judgement.evidence if judgement else judgement.name
+        self._journal.log('BBF0745', flow=format_flow(packet.flow), doubt=doubt)
         self._transport.send_to_upstream(packet, address)
 
     def _judge(self, flow: bytes, now: float) -> Denial | Sentinel:
--- a/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
+++ b/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
@@ -113,7 +113,7 @@
 
 
 # Guards against FLOW broken by a raised idle time at an agent that no balancer
-# follows: it denied paused flows by the idle time that a single sample had told.
+# follows: it denied paused flows by the idle time that one sample had told.
 def test_idle_time_of_a_past_sample_is_no_evidence():
     agent = agent_with_balancer()
     agent.receive_message(BALANCER, subscribe_of(idle_seconds=5, once=True))
--- a/bluebellfold/relay/upstreams/unknown_flows.py
+++ b/bluebellfold/relay/upstreams/unknown_flows.py
@@ -7,12 +7,13 @@
 Load pattern: after a power loss, clients send packets of thousands of flows
 that no longer exist. Forwarding all of them from every balancer to each
 upstream would delay new flows by seconds. An agent remembers what its upstream
-returned, so that each such flow costs each upstream one packet. It denies them
-all if its upstream seems to have started after it and no balancer has offered
-flows to an earlier agent at its address. The start times alone are no evidence,
-since clocks are set back and forth: flows of an upstream that started before
-its agent were offered to an earlier agent, by balancers that count their
-offers.
+returned, so that each such flow costs each upstream one packet. It presumes
+that they are all absent if its upstream seems to have started after it and no
+balancer has offered flows to an earlier agent at its address. The start times
+alone are no evidence, since clocks are set back and forth: flows of an upstream
+that started before its agent were offered to an earlier agent, by balancers
+that count their offers. Balancers that have restarted count none, so that a
+balancer confirms what few agents presume by a packet of the flow.
 """
 
 from bluebellfold.core import Record, Sentinel, read_only
@@ -23,20 +24,26 @@
 
 
 class Denial(Record):
-    """State on which evidence the upstream holds no unknown flow."""
+    """State on which evidence the upstream holds no unknown flow.
 
-    __slots__ = ('_evidence',)
+    ``presumed`` marks evidence that is wrong if wall clocks were set while
+    every process that knew better was restarted.
+    """
+
+    __slots__ = ('_evidence', '_presumed')
 
     evidence: str = read_only('_evidence')
+    presumed: bool = read_only('_presumed')
 
-    def __init__(self, *, evidence: str) -> None:
+    def __init__(self, *, evidence: str, presumed: bool = False) -> None:
         self._evidence = evidence
+        self._presumed = presumed
 
 
 IDLE_TIME_PASSED = Denial(evidence='idle-time-passed')
 PORT_CLOSED = Denial(evidence='port-closed')
 RETURNED = Denial(evidence='returned-by-upstream')
-STARTED_LATER = Denial(evidence='upstream-started-later')
+STARTED_LATER = Denial(evidence='upstream-started-later', presumed=True)
 
 AGENT_STARTED = Sentinel(
     name='agent-started',
