Read target latencies, home regions, warm-up rates and bounds

Parts that are to come decide by them: the time within which clients want a response, the regions of a route, the rate of new flows that a cold upstream bears, the bounds on evacuations and warm-ups, the region of each zone, and the hosts of other balancers. Nothing acts on them yet. Optional values that the platform's template leaves empty, null or unfilled count as absent.

--- a/bluebellfold/core/__init__.py
+++ b/bluebellfold/core/__init__.py
@@ -31,6 +31,7 @@
     NO_ROUTES,
     NO_VERSION,
     Route,
+    RoutedService,
     RoutingTable,
     Share,
 )
@@ -76,6 +77,7 @@
     'Registry',
     'Reply',
     'Route',
+    'RoutedService',
     'RoutingTable',
     'RowConflictError',
     'SERVING',
--- a/bluebellfold/core/routing.py
+++ b/bluebellfold/core/routing.py
@@ -3,6 +3,7 @@
 from bluebellfold.core.record import Record, read_only
 
 NO_VERSION = -1
+ANY_REGION: frozenset[str] = frozenset()
 
 
 class Share(Record):
@@ -18,28 +19,50 @@
         self._weight = weight
 
 
+class RoutedService(Record):
+    """Describe the upstreams of one service.
+
+    An upstream bears ``warmup_flows_per_second`` new flows while it is warming
+    up; 0 sets no limit.
+    """
+
+    __slots__ = ('_name', '_warmup_flows_per_second')
+
+    name: str = read_only('_name')
+    warmup_flows_per_second: float = read_only('_warmup_flows_per_second')
+
+    def __init__(self, *, name: str, warmup_flows_per_second: float) -> None:
+        self._name = name
+        self._warmup_flows_per_second = warmup_flows_per_second
+
+
 class Route(Record):
     """Route the new flows of one address to one or several services.
 
     ``repeatable`` marks routes with idempotent requests, which may be executed
-    more than once. ``timeout_seconds`` limits a request. ``priority`` 0 is the
-    highest.
+    more than once. ``timeout_seconds`` limits a request, and clients want the
+    response within ``target_seconds``, 0 if unknown. ``priority`` 0 is the
+    highest. Only upstreams in ``allowed_regions`` are used, if there are any.
     """
 
     __slots__ = (
         '_address',
+        '_allowed_regions',
         '_name',
         '_priority',
         '_repeatable',
         '_shares',
+        '_target_seconds',
         '_timeout_seconds',
     )
 
     address: bytes = read_only('_address')
+    allowed_regions: frozenset[str] = read_only('_allowed_regions')
     name: str = read_only('_name')
     priority: int = read_only('_priority')
     repeatable: bool = read_only('_repeatable')
     shares: tuple[Share, ...] = read_only('_shares')
+    target_seconds: float = read_only('_target_seconds')
     timeout_seconds: float = read_only('_timeout_seconds')
 
     def __init__(
@@ -51,12 +74,16 @@
         repeatable: bool,
         priority: int,
         timeout_seconds: float,
+        target_seconds: float = 0,
+        allowed_regions: frozenset[str] = ANY_REGION,
     ) -> None:
         self._name = name
         self._address = address
+        self._allowed_regions = allowed_regions
         self._shares = shares
         self._repeatable = repeatable
         self._priority = priority
+        self._target_seconds = target_seconds
         self._timeout_seconds = timeout_seconds
 
     def select_service(self, fraction: float) -> str:
@@ -80,7 +107,7 @@
 class RoutingTable:
     """Hold the routes of one version of the configuration."""
 
-    __slots__ = ('_by_address', '_idle_seconds', '_version')
+    __slots__ = ('_by_address', '_idle_seconds', '_services', '_version')
 
     def __init__(
         self,
@@ -88,9 +115,11 @@
         version: int,
         routes: tuple[Route, ...],
         idle_seconds: float,
+        services: tuple[RoutedService, ...] = (),
     ) -> None:
         self._version = version
         self._by_address = {route.address: route for route in routes}
+        self._services = {service.name: service for service in services}
         self._idle_seconds = idle_seconds
 
     @property
@@ -112,5 +141,9 @@
         """Return the route of a packed address, or None."""
         return self._by_address.get(address)
 
+    def find_service(self, name: str) -> RoutedService | None:
+        """Return what the configuration says of a service, or None."""
+        return self._services.get(name)
+
 
 NO_ROUTES = RoutingTable(version=NO_VERSION, routes=(), idle_seconds=0)
--- a/bluebellfold/ini/value_checks.py
+++ b/bluebellfold/ini/value_checks.py
@@ -1,7 +1,9 @@
 """Validate single values of settings and convert them."""
 
 import ipaddress
+import json
 import re
+from collections.abc import Iterable
 from typing import Any
 
 from configobj.validate import Validator, VdtValueError
@@ -10,6 +12,8 @@
 
 NAME_PATTERN = re.compile('[a-z][a-z0-9-]{0,62}')
 PORT_LIMIT = 65_536
+# Begins a placeholder that the platform's templates leave unfilled.
+PLACEHOLDER = '{{'
 
 VALUE_CHECKS: Registry[str, Any] = Registry(name='value checks')
 
@@ -76,6 +80,67 @@
     return tuple(check_endpoint(endpoint) for endpoint in _as_list(texts))
 
 
+@VALUE_CHECKS.add('optional_number')
+def check_optional_number(text: Any) -> float | None:
+    """Return a number that isn't negative, None for an empty text.
+
+    >>> check_optional_number('1.5'), check_optional_number('null')
+    (1.5, None)
+    """
+    if _is_empty(text):
+        return None
+    try:
+        number = float(text)
+    except (TypeError, ValueError):
+        raise InvalidValueError(f'{text!r} is not a number') from None
+    if not 0 <= number < float('inf'):
+        raise InvalidValueError(f'{text!r} is not a number from 0 on')
+    return number
+
+
+@VALUE_CHECKS.add('json_table')
+def check_json_table(text: Any) -> tuple[tuple[str, str], ...]:
+    """Return the entries of a JSON table of texts, none for an empty text.
+
+    A mapping would be taken for a section of the settings.
+
+    >>> check_json_table('{"a": "north"}')
+    (('a', 'north'),)
+    """
+    table = {} if _is_empty(text) else _load_json(text)
+    if isinstance(table, dict) and _are_texts(table.values()):
+        return tuple(table.items())
+    raise InvalidValueError(f'{text!r} is not a JSON table of texts')
+
+
+@VALUE_CHECKS.add('json_hosts')
+def check_json_hosts(text: Any) -> tuple[str, ...]:
+    """Return the hosts of a JSON list of host:port, empty for no text.
+
+    >>> check_json_hosts('["10.0.0.1:8166"]')
+    ('10.0.0.1',)
+    """
+    listed = [] if _is_empty(text) else _load_json(text)
+    if isinstance(listed, list) and _are_texts(listed):
+        return tuple(check_endpoint(endpoint).host for endpoint in listed)
+    raise InvalidValueError(f'{text!r} is not a JSON list of host:port')
+
+
+def _is_empty(text: Any) -> bool:
+    return text in {'', 'null'} or str(text).startswith(PLACEHOLDER)
+
+
+def _load_json(text: Any) -> Any:
+    try:
+        return json.loads(text)
+    except (TypeError, ValueError, RecursionError):
+        raise InvalidValueError(f'{text!r} is not JSON') from None
+
+
+def _are_texts(texts: Iterable[Any]) -> bool:
+    return all(isinstance(text, str) for text in texts)
+
+
 def _check_network(text: str) -> str:
     try:
         return str(ipaddress.IPv4Network(text))
--- a/bluebellfold/platform/routes.py
+++ b/bluebellfold/platform/routes.py
@@ -5,6 +5,7 @@
 
 from bluebellfold.core import (
     Route,
+    RoutedService,
     RoutingTable,
     Sentinel,
     Share,
@@ -21,6 +22,7 @@
 MAX_PRIORITY = 255
 MAX_MS = 86_400_000
 MAX_WEIGHT = 1_000_000
+MAX_FLOWS_PER_SECOND = 1_000_000
 # An invalid IP address raises OSError.
 DECODE_ERRORS = (KeyError, TypeError, ValueError, OSError)
 PORT_PATTERN = re.compile(r'/([0-9]{1,5})/')
@@ -47,6 +49,16 @@
         version=_check_integer(spec['Version'], most=MAX_VERSION),
         routes=tuple(map(_decode_route, spec['Routes'])),
         idle_seconds=_check_number(idle_ms, most=MAX_MS) / MS_PER_SECOND,
+        services=tuple(map(_decode_service, spec.get('Services') or ())),
+    )
+
+
+def _decode_service(fields: dict[str, Any]) -> RoutedService:
+    # A rate of 0, like a missing one, states no limit.
+    rate = fields.get('WarmupPerS', 0)
+    return RoutedService(
+        name=_check_text(fields['Name']),
+        warmup_flows_per_second=_check_number(rate, most=MAX_FLOWS_PER_SECOND),
     )
 
 
@@ -56,6 +68,7 @@
     if port is None:
         raise ValueError('the path prefix is no port')
     timeout_ms = fields['TimeoutMs']
+    target_ms = fields.get('TargetLatencyMs', 0)
     return Route(
         name=_check_text(fields['Name']),
         address=pack_address(
@@ -65,9 +78,18 @@
         repeatable=fields['Type'] == IDEMPOTENT,
         priority=_check_integer(fields['Priority'], most=MAX_PRIORITY),
         timeout_seconds=_check_number(timeout_ms, most=MAX_MS) / MS_PER_SECOND,
+        target_seconds=_check_number(target_ms, most=MAX_MS) / MS_PER_SECOND,
+        allowed_regions=_decode_regions(fields),
     )
 
 
+def _decode_regions(fields: dict[str, Any]) -> frozenset[str]:
+    regions = fields.get('AllowedRegions') or []
+    if not isinstance(regions, list):
+        raise TypeError('the regions are no list')
+    return frozenset(map(_check_text, regions))
+
+
 def _decode_shares(fields: dict[str, Any]) -> tuple[Share, ...]:
     split = fields.get('TrafficSplit')
     if not split:
--- a/bluebellfold/platform/tests/test_decoding.py
+++ b/bluebellfold/platform/tests/test_decoding.py
@@ -43,7 +43,11 @@
 CONFIGURATION = {
     'Version': 7,
     'Routes': [ROUTE],
-    'Services': [],
+    'Services': [
+        {'Name': 'counter', 'WarmupPerS': 4.0},
+        {'Name': 'makeroom', 'WarmupPerS': 0},
+        {'Name': 'press'},
+    ],
     'Limits': {'IdleTimeoutMs': 15_000},
 }
 
@@ -104,6 +108,39 @@
     assert table.find(pack_address('198.18.0.1', 8081)) is None
 
 
+def test_optional_fields_of_a_route_are_decoded():
+    route = {**ROUTE, 'AllowedRegions': ['north', 'south']}
+    table = decode_routing({**CONFIGURATION, 'Routes': [route]})
+    found = table.find(pack_address('198.18.0.1', 8080))
+    assert found.target_seconds == pytest.approx(0.15)
+    assert found.allowed_regions == {'north', 'south'}
+
+
+def test_route_without_optional_fields_is_decoded():
+    route = {**ROUTE}
+    route.pop('TargetLatencyMs')
+    table = decode_routing({**CONFIGURATION, 'Routes': [route]})
+    found = table.find(pack_address('198.18.0.1', 8080))
+    assert found.target_seconds == 0
+    assert not found.allowed_regions
+
+
+# Guards against any region for a route whose regions are unreadable.
+@pytest.mark.parametrize('regions', [7, 'north', [7], [None], [['north']]])
+def test_route_with_unreadable_regions_is_rejected(regions):
+    route = {**ROUTE, 'AllowedRegions': regions}
+    decoded = decode_routing({**CONFIGURATION, 'Routes': [route]})
+    assert decoded is UNREADABLE_CONFIGURATION
+
+
+@pytest.mark.parametrize(
+    ('name', 'rate'), [('counter', 4), ('makeroom', 0), ('press', 0)]
+)
+def test_warmup_rate_of_a_service_is_decoded(name, rate):
+    service = decode_routing(CONFIGURATION).find_service(name)
+    assert service.warmup_flows_per_second == rate
+
+
 def test_configuration_without_routes_is_valid():
     table = decode_routing({**CONFIGURATION, 'Routes': []})
     assert table
