Carry evacuations, warm-up limits and arrival rates between processes

Nothing sets or reads them yet. All processes of a site have to run the same version of the messages: a process skips those that it can't read.

--- a/bluebellfold/relay/agents/agent_load.py
+++ b/bluebellfold/relay/agents/agent_load.py
@@ -1,22 +1,68 @@
 """Describe the load of an agent's upstream, as it is reported."""
 
-from bluebellfold.core import Record, read_only
+from bluebellfold.core import NO_VERSION, Record, read_only
+
+# The number of flows that an upstream takes while it is warming up, if the rate
+# of new flows isn't limited.
+NO_FLOW_LIMIT = 254
+
+
+class Evacuation(Record):
+    """State whether the zone of an agent is evacuated.
+
+    ``revision`` is that of the store as of which this is known.
+    """
+
+    __slots__ = ('_evacuated', '_revision')
+
+    evacuated: bool = read_only('_evacuated')
+    revision: int = read_only('_revision')
+
+    def __init__(self, *, evacuated: bool, revision: int) -> None:
+        self._evacuated = evacuated
+        self._revision = revision
+
+
+NO_EVACUATION = Evacuation(evacuated=False, revision=NO_VERSION)
 
 
 class Versions(Record):
     """Hold the newest known versions of the configuration and agent list.
 
     ``agents`` is the revision of the list of agents in the store.
+    ``evacuation`` is that of the zone of the agent which gets or sends this.
     """
 
-    __slots__ = ('_agents', '_configuration')
+    __slots__ = ('_agents', '_configuration', '_evacuation')
 
     agents: int = read_only('_agents')
     configuration: int = read_only('_configuration')
+    evacuation: Evacuation = read_only('_evacuation')
 
-    def __init__(self, *, configuration: int, agents: int) -> None:
+    def __init__(
+        self,
+        *,
+        configuration: int,
+        agents: int,
+        evacuation: Evacuation = NO_EVACUATION,
+    ) -> None:
         self._configuration = configuration
         self._agents = agents
+        self._evacuation = evacuation
+
+
+class Warmup(Record):
+    """Describe an upstream that is warming up.
+
+    It takes ``flows_left`` new flows at this moment, up to NO_FLOW_LIMIT.
+    """
+
+    __slots__ = ('_flows_left',)
+
+    flows_left: int = read_only('_flows_left')
+
+    def __init__(self, *, flows_left: int) -> None:
+        self._flows_left = flows_left
 
 
 class RequestStats(Record):
@@ -24,15 +70,23 @@
 
     ``work_seconds`` is the mean processing time of a request, 0 before the
     first request. ``failure_share`` is the share of requests that failed,
-    from 0 to 1.
+    from 0 to 1. ``arrivals_per_second`` counts the new flows of all balancers.
     """
 
-    __slots__ = ('_failure_share', '_work_seconds')
+    __slots__ = ('_arrivals_per_second', '_failure_share', '_work_seconds')
 
+    arrivals_per_second: float = read_only('_arrivals_per_second')
     failure_share: float = read_only('_failure_share')
     work_seconds: float = read_only('_work_seconds')
 
-    def __init__(self, *, work_seconds: float, failure_share: float) -> None:
+    def __init__(
+        self,
+        *,
+        work_seconds: float,
+        failure_share: float,
+        arrivals_per_second: float = 0,
+    ) -> None:
+        self._arrivals_per_second = arrivals_per_second
         self._work_seconds = work_seconds
         self._failure_share = failure_share
 
@@ -44,7 +98,8 @@
     all open flows. ``incarnation`` is the time of day in ns at which the agent
     started, and ``sequence`` numbers its reports. ``offers_seen`` counts
     the offers of the balancer that receives the report. ``versions`` holds the
-    newest versions that any balancer has reported to the agent.
+    newest versions that any balancer has reported to the agent. ``warmup`` is
+    None once the upstream has warmed up.
     """
 
     __slots__ = (
@@ -58,7 +113,7 @@
         '_slots',
         '_state',
         '_versions',
-        '_warming',
+        '_warmup',
         '_zone',
     )
 
@@ -72,7 +127,7 @@
     incarnation: int = read_only('_incarnation')
     state: int = read_only('_state')
     versions: Versions = read_only('_versions')
-    warming: bool = read_only('_warming')
+    warmup: Warmup | None = read_only('_warmup')
     zone: str = read_only('_zone')
 
     def __init__(
@@ -86,7 +141,7 @@
         slots: int,
         in_flight: int,
         flows: int,
-        warming: bool,
+        warmup: Warmup | None,
         request_stats: RequestStats,
         offers_seen: int,
         versions: Versions,
@@ -99,7 +154,12 @@
         self._slots = slots
         self._in_flight = in_flight
         self._flows = flows
-        self._warming = warming
+        self._warmup = warmup
         self._request_stats = request_stats
         self._offers_seen = offers_seen
         self._versions = versions
+
+    @property
+    def warming(self) -> bool:
+        """Tell whether the upstream is warming up."""
+        return self._warmup is not None
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from bluebellfold.core import Message, Packet, Registry, Sentinel
-from bluebellfold.relay.agents.agent_load import Versions
+from bluebellfold.relay.agents.agent_load import Evacuation, Versions
 from bluebellfold.relay.agents.load_fields import (
     check_range,
     pack_load,
@@ -29,12 +29,14 @@
 )
 
 # Idle seconds, offers sent, configuration version, agent list revision, one
-# report only.
-_SUBSCRIBE_FIELDS = struct.Struct('>fIqq?')
+# report only, evacuation revision, evacuated, new flows per second while
+# warming up.
+_SUBSCRIBE_FIELDS = struct.Struct('>fIqq?q?f')
 _MAX_COUNTER = 0xFFFFFFFF
 _MAX_SHORT = 0xFFFF
 # Bounds of durations in messages.
 _MAX_SECONDS = 86_400.0
+_MAX_FLOWS_PER_SECOND = 1_000_000.0
 FLOW_KEY_BYTES = 12
 # Flow key, acknowledgement number.
 _LOOKUP_FIELDS = struct.Struct('>12sI')
@@ -195,6 +197,9 @@
         message.versions.configuration,
         message.versions.agents,
         message.once,
+        message.versions.evacuation.revision,
+        message.versions.evacuation.evacuated,
+        message.warmup_flows_per_second,
     )
     return bytes((_SUBSCRIBE,)) + numbers
 
@@ -203,11 +208,17 @@
 def _decode_subscribe(datagram: bytes, _: PacketReader) -> Any:
     numbers = _SUBSCRIBE_FIELDS.unpack(datagram[1:])
     check_range(numbers[0], least=0, most=_MAX_SECONDS)
+    check_range(numbers[-1], least=0, most=_MAX_FLOWS_PER_SECOND)
     return Subscribe(
         idle_seconds=numbers[0],
         offers_sent=numbers[1],
-        versions=Versions(configuration=numbers[2], agents=numbers[3]),
+        versions=Versions(
+            configuration=numbers[2],
+            agents=numbers[3],
+            evacuation=Evacuation(revision=numbers[5], evacuated=numbers[6]),
+        ),
         once=numbers[4],
+        warmup_flows_per_second=numbers[-1],
     )
 
 
--- a/bluebellfold/relay/agents/load_fields.py
+++ b/bluebellfold/relay/agents/load_fields.py
@@ -3,19 +3,27 @@
 import struct
 
 from bluebellfold.relay.agents.agent_load import (
+    NO_FLOW_LIMIT,
     AgentLoad,
+    Evacuation,
     RequestStats,
     Versions,
+    Warmup,
 )
 from bluebellfold.relay.agents.messages import STATE_NAMES
 
 # Incarnation, sequence, offers seen, state, warming up, slots, requests
 # in flight, flows, configuration version, agent list revision, mean work
-# seconds, failure share.
-_LOAD_FIELDS = struct.Struct('>QIIBBHHIqqff')
+# seconds, failure share, evacuation revision, evacuated, new flows per second.
+# The field for the warm-up is 0 if there is none, else one more than the flows
+# that are left.
+_LOAD_FIELDS = struct.Struct('>QIIBBHHIqqffq?f')
+# Position of the failure share among them.
+_FAILURE_SHARE = 11
 _MAX_COUNTER = 0xFFFFFFFF
 _MAX_SHORT = 0xFFFF
 _MAX_WORK_SECONDS = 86_400.0
+_MAX_ARRIVALS_PER_SECOND = 1_000_000.0
 
 
 def check_range(number: float, *, least: float, most: float) -> None:
@@ -32,7 +40,7 @@
         load.sequence & _MAX_COUNTER,
         load.offers_seen & _MAX_COUNTER,
         load.state,
-        load.warming,
+        _pack_warmup(load.warmup),
         min(load.slots, _MAX_SHORT),
         min(load.in_flight, _MAX_SHORT),
         load.flows,
@@ -40,6 +48,9 @@
         load.versions.agents,
         load.request_stats.work_seconds,
         load.request_stats.failure_share,
+        load.versions.evacuation.revision,
+        load.versions.evacuation.evacuated,
+        load.request_stats.arrivals_per_second,
     )
     return b''.join(
         (numbers, bytes((len(service),)), service, load.zone.encode())
@@ -51,24 +62,40 @@
     numbers_end = _LOAD_FIELDS.size
     numbers = _LOAD_FIELDS.unpack(packed[:numbers_end])
     service_end = numbers_end + 1 + packed[numbers_end]
+    *_, revision, evacuated, arrivals = numbers
     check_range(numbers[3], least=0, most=len(STATE_NAMES) - 1)
     # An upstream without slots would have no load that can be compared.
     check_range(numbers[5], least=1, most=_MAX_SHORT)
     check_range(numbers[10], least=0, most=_MAX_WORK_SECONDS)
-    check_range(numbers[-1], least=0, most=1)
+    check_range(numbers[_FAILURE_SHARE], least=0, most=1)
+    check_range(arrivals, least=0, most=_MAX_ARRIVALS_PER_SECOND)
     return AgentLoad(
         incarnation=numbers[0],
         sequence=numbers[1],
         offers_seen=numbers[2],
         state=numbers[3],
-        warming=bool(numbers[4]),
+        warmup=_unpack_warmup(numbers[4]),
         slots=numbers[5],
         in_flight=numbers[6],
         flows=numbers[7],
-        versions=Versions(configuration=numbers[8], agents=numbers[9]),
+        versions=Versions(
+            configuration=numbers[8],
+            agents=numbers[9],
+            evacuation=Evacuation(revision=revision, evacuated=evacuated),
+        ),
         request_stats=RequestStats(
-            work_seconds=numbers[10], failure_share=numbers[-1]
+            work_seconds=numbers[10],
+            failure_share=numbers[_FAILURE_SHARE],
+            arrivals_per_second=arrivals,
         ),
         service=packed[numbers_end + 1 : service_end].decode(),
         zone=packed[service_end:].decode(),
     )
+
+
+def _pack_warmup(warmup: Warmup | None) -> int:
+    return 0 if warmup is None else min(warmup.flows_left, NO_FLOW_LIMIT) + 1
+
+
+def _unpack_warmup(number: int) -> Warmup | None:
+    return Warmup(flows_left=number - 1) if number else None
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -21,6 +21,10 @@
 DECLINED_UNANSWERED = 5
 # The upstream itself returned or reset the opening packet.
 DECLINED_REJECTED = 6
+# The operator has evacuated the zone.
+DECLINED_EVACUATED = 7
+# The upstream is warming up and takes no more new flows at this moment.
+DECLINED_WARMING = 8
 
 DECLINE_NAMES = (
     'none',
@@ -30,6 +34,8 @@
     'other-service',
     'unanswered',
     'rejected',
+    'evacuated',
+    'warming',
 )
 
 
@@ -177,15 +183,24 @@
     ``idle_seconds`` is the time without packets after which a flow expires,
     0 if it is not known yet. ``offers_sent`` corrects the agent's count for
     offers that were lost. ``versions`` are those in force at the balancer.
-    With ``once``, the agent sends one report and none after it.
+    With ``once``, the agent sends one report and none after it. While the
+    upstream is warming up, it takes ``warmup_flows_per_second`` new flows; 0
+    sets no limit.
     """
 
-    __slots__ = ('_idle_seconds', '_offers_sent', '_once', '_versions')
+    __slots__ = (
+        '_idle_seconds',
+        '_offers_sent',
+        '_once',
+        '_versions',
+        '_warmup_flows_per_second',
+    )
 
     idle_seconds: float = read_only('_idle_seconds')
     offers_sent: int = read_only('_offers_sent')
     once: bool = read_only('_once')
     versions: Versions = read_only('_versions')
+    warmup_flows_per_second: float = read_only('_warmup_flows_per_second')
 
     def __init__(
         self,
@@ -194,11 +209,13 @@
         offers_sent: int,
         versions: Versions,
         once: bool = False,
+        warmup_flows_per_second: float = 0,
     ) -> None:
         self._idle_seconds = idle_seconds
         self._offers_sent = offers_sent
         self._versions = versions
         self._once = once
+        self._warmup_flows_per_second = warmup_flows_per_second
 
 
 class LoadReport(Message):
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -9,8 +9,10 @@
 from bluebellfold.core import Message, Sentinel
 from bluebellfold.platform import decode_client_packet
 from bluebellfold.relay.agents import (
+    NO_FLOW_LIMIT,
     UNREADABLE_MESSAGE,
     Declined,
+    Evacuation,
     FlowFound,
     FlowLookup,
     FlowNotFound,
@@ -23,6 +25,7 @@
     ReturnedPacket,
     Subscribe,
     Versions,
+    Warmup,
     decode_message,
 )
 from bluebellfold.relay.tests.harness import encode_and_decode, report_of
@@ -48,15 +51,27 @@
             idle_seconds=15,
             once=True,
             offers_sent=7,
-            versions=Versions(configuration=12, agents=3),
+            versions=Versions(
+                configuration=12,
+                agents=3,
+                evacuation=Evacuation(evacuated=True, revision=9),
+            ),
+            warmup_flows_per_second=2.5,
         ),
+        report_of(warmup=Warmup(flows_left=NO_FLOW_LIMIT)),
         report_of(
             in_flight=3,
             flows=99,
-            warming=True,
+            warmup=Warmup(flows_left=3),
             followers=12,
-            request_stats=RequestStats(work_seconds=0.5, failure_share=0.25),
-            versions=Versions(configuration=-1, agents=-1),
+            request_stats=RequestStats(
+                work_seconds=0.5, failure_share=0.25, arrivals_per_second=2.5
+            ),
+            versions=Versions(
+                configuration=-1,
+                agents=-1,
+                evacuation=Evacuation(evacuated=True, revision=9),
+            ),
         ),
     ],
     ids=lambda message: type(message).__name__,
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -5,8 +5,10 @@
     DECLINED_FULL,
     DOWN,
     DRAINING,
+    NO_FLOW_LIMIT,
     Declined,
     Offer,
+    Warmup,
 )
 from bluebellfold.relay.callers.admission import NO_IN_FLIGHT_LIMIT
 from bluebellfold.relay.callers.tests.harness import (
@@ -29,6 +31,7 @@
     opening_packet,
 )
 
+WARMUP = Warmup(flows_left=NO_FLOW_LIMIT)
 # The client's first packet after the upstream's reply.
 FIRST_DATA = client_packet(flags=ACKNOWLEDGE, sequence=1, payload=b'first')
 
@@ -366,7 +369,7 @@
 
 def test_upstream_that_warms_up_accepts_fewer_requests():
     # With three requests per slot, responses would exceed the target latency.
-    balancer = balancer_with(report_of(in_flight=4, warming=True))
+    balancer = balancer_with(report_of(in_flight=4, warmup=WARMUP))
     balancer.receive_packet(opening_packet())
     assert not balancer.transport.pop_messages(Offer)
     balancer.receive_message(FIRST, report_of(in_flight=4, sequence=2))
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -100,7 +100,7 @@
         'slots': 2,
         'in_flight': 0,
         'flows': 0,
-        'warming': False,
+        'warmup': None,
         'request_stats': request_stats_of(),
         'offers_seen': 0,
         'versions': versions_of(),
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -3,6 +3,7 @@
 from bluebellfold.core import NO_VERSION, Announcement
 from bluebellfold.relay.agents import (
     DRAINING,
+    NO_FLOW_LIMIT,
     READY,
     STATE_NAMES,
     UNKNOWN,
@@ -12,6 +13,7 @@
     RequestStats,
     Subscribe,
     Versions,
+    Warmup,
 )
 from bluebellfold.relay.balancers import Subscriptions
 from bluebellfold.relay.collectors import Journal
@@ -209,6 +211,11 @@
         told = self._subscriptions.idle_seconds
         self._idle_seconds = told or DEFAULT_IDLE_SECONDS
 
+    def _warmup(self, now: float) -> Warmup | None:
+        if not self._health.is_warming(now):
+            return None
+        return Warmup(flows_left=NO_FLOW_LIMIT)
+
     def _send_report(
         self, address: Address, offers_seen: int, in_flight: int, now: float
     ) -> None:
@@ -221,7 +228,7 @@
             slots=self._health.slots,
             in_flight=in_flight,
             flows=len(self._flows),
-            warming=self._health.is_warming(now),
+            warmup=self._warmup(now),
             request_stats=RequestStats(
                 work_seconds=self._performance.work_seconds,
                 failure_share=self._performance.failure_share(now),
