Tell clients at once that their flows are lost

Cause: a balancer resets a flow once all listed agents deny it. Besides, agents that started later than a balancer's query were queried again only with the client's next packet.

An agent now lists itself once it has heard its upstream, and a balancer repeats the queries of a pending lookup each 0.4 s.

The new tests failed before.

--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -77,6 +77,7 @@
                 zone=process.zone,
             ),
         )
+        self._main_actor.attach_registrar(registrar)
         status_server = partial(
             StatusServer,
             journal=self._journal,
--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -183,13 +183,17 @@
         """Assign a flow to the agent that holds it; forward its packets."""
         self._assign_owner(message.flow, address, now)
 
-    def tick(self, now: float) -> None:
-        """Ask all agents after the home agents, and probe uncertain agents."""
+    def tick(self, now: float, *, agents_complete: bool) -> None:
+        """Query agents after the homes, again and by a packet, where due."""
         for flow, lookup in self._lookups.list_pending():
             if lookup.homes_failed(now):
                 self._query_all_agents(flow, lookup, now)
             if lookup.asks_homes:
                 continue
+            if lookup.detect_retry_due(now):
+                self._journal.count('lookups-repeated')
+                self._send_queries(flow, lookup, now)
+                self._conclude(flow, lookup, now, complete=agents_complete)
             for address in lookup.pop_uncertain(now):
                 self._transport.send_to_agent(
                     address, ForwardedPacket(packet=lookup.queued_packets[0])
@@ -260,9 +264,14 @@
     ) -> None:
         lookup.extend_to_all(now)
         self._journal.count('flows-sought-at-all')
+        self._send_queries(flow, lookup, now)
+
+    def _send_queries(
+        self, flow: bytes, lookup: PendingLookup, now: float
+    ) -> None:
         query = FlowLookup(flow=flow, acknowledged=lookup.acknowledged)
         for view in self._agent_table.views:
-            if not lookup.has_denied(view.address):
+            if lookup.needs_query(view.address):
                 self._agent_table.expect_message(view, now)
                 self._transport.send_to_agent(view.address, query)
 
--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -17,6 +17,11 @@
 # owner answers within one round trip; the client retransmits a lost packet
 # after 0.2 s.
 REPEAT_QUERY_SECONDS = 0.15
+# Agents that have neither denied a flow nor presumed it absent are queried
+# again after this time, without another packet of the client. After a power
+# loss an agent starts some tenths of a second later than another, and the
+# client waits up to 1.6 s between two packets.
+RETRY_QUERY_SECONDS = 0.4
 # An agent that has just restarted doesn't know its flows. Its upstream is
 # probed once the other agents have had time to answer.
 PROBE_DELAY_SECONDS = 0.03
@@ -43,6 +48,7 @@
         '_presumed_absent',
         '_queried_at',
         '_queued_packets',
+        '_retried_at',
         '_started_at',
         '_uncertain',
     )
@@ -51,6 +57,7 @@
         self._homes: tuple[Address, ...] = ()
         self._started_at = now
         self._queried_at = now
+        self._retried_at = now
         self._not_found: set[Address] = set()
         self._presumed_absent: set[Address] = set()
         self._uncertain: set[Address] = set()
@@ -79,6 +86,7 @@
         """Record that all agents are queried now."""
         self._homes = ()
         self._queried_at = now
+        self._retried_at = now
 
     def homes_failed(self, now: float) -> bool:
         """Return whether the home agents don't know the owner, or are late."""
@@ -103,6 +111,18 @@
         self._queried_at = now
         return True
 
+    def detect_retry_due(self, now: float) -> bool:
+        """Return whether agents without an answer are to be queried again.
+
+        Restart the interval if they are.
+        """
+        if self._homes or self.is_expired(now):
+            return False
+        if now - self._retried_at < RETRY_QUERY_SECONDS:
+            return False
+        self._retried_at = now
+        return True
+
     def record_not_found(self, agent: Address) -> None:
         """Record that an agent's upstream doesn't hold the flow."""
         self._not_found.add(agent)
@@ -123,6 +143,10 @@
         """Return whether an agent has reported that it lacks the flow."""
         return agent in self._not_found
 
+    def needs_query(self, agent: Address) -> bool:
+        """Return whether an agent has neither denied nor presumed so far."""
+        return not (agent in self._not_found or agent in self._presumed_absent)
+
     def is_not_found_at(self, agents: Collection[Address]) -> bool:
         """Return whether all the agents deny the flow or presume it absent."""
         return (self._not_found | self._presumed_absent).issuperset(agents)
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -203,7 +203,7 @@
         """Run the timers; call this about twenty times a second."""
         self._detect_pause(now)
         self._admission.tick(now)
-        self._forwarder.tick(now)
+        self._forwarder.tick(now, agents_complete=self._agents_complete)
         for view in self._agent_table.followed:
             if view.detect_unreachable(now):
                 self._journal.log(
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -179,6 +179,44 @@
     assert not balancer.transport.pop_messages(ForwardedPacket)
 
 
+# Guards against flows of which clients learn only seconds after a power loss
+# that they are lost: agents that started late were queried again with the next
+# packet of the client.
+def test_agent_without_an_answer_is_queried_again():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.receive_packet(DATA)
+    balancer.receive_message(FIRST, FlowNotFound(flow=DATA.flow))
+    balancer.transport.pop_messages(FlowLookup)
+    balancer.advance(0.45)
+    assert balancer.transport.pop_messages(FlowLookup) == [
+        (
+            SECOND,
+            FlowLookup(flow=DATA.flow, acknowledged=DATA.acknowledged),
+        )
+    ]
+    balancer.receive_message(SECOND, FlowNotFound(flow=DATA.flow))
+    assert balancer.transport.resets == [DATA]
+
+
+def test_agents_are_not_queried_again_after_the_lookup_timed_out():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.receive_packet(DATA)
+    balancer.advance(2.1)
+    balancer.transport.sent.clear()
+    balancer.advance(1)
+    assert not balancer.transport.pop_messages(FlowLookup)
+
+
+def test_flow_is_reset_once_the_last_unanswering_agent_has_left_the_list():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.receive_packet(DATA)
+    balancer.receive_message(FIRST, FlowNotFound(flow=DATA.flow))
+    balancer.list_agents((FIRST,))
+    assert not balancer.transport.resets
+    balancer.advance(0.45)
+    assert balancer.transport.resets == [DATA]
+
+
 def test_all_returned_packets_are_forwarded_to_the_owner():
     # The cached owner has restarted and returns the packets that it receives.
     # A packet lost here is delayed until its client retransmits it.
--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -7,6 +7,7 @@
 )
 from bluebellfold.relay.store.configuration import ConfigurationWatch
 from bluebellfold.relay.store.messages import (
+    RegisterAgent,
     Relist,
     SetBalancers,
     SetRoutesFresh,
@@ -19,6 +20,7 @@
     'AgentRegistrar',
     'AgentWatch',
     'ConfigurationWatch',
+    'RegisterAgent',
     'Relist',
     'SetBalancers',
     'SetRoutesFresh',
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -1,8 +1,8 @@
 """Maintain and watch the list of agents in the store.
 
-An agent writes one object when it first runs on a machine, and deletes it when
-its upstream has ended. State that changes often, such as the load, is sent to
-the balancers directly and not stored.
+An agent writes one object when it first hears its upstream on a machine, and
+deletes it when its upstream has ended. State that changes often, such as the
+load, is sent to the balancers directly and not stored.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
     StoreError,
 )
 from bluebellfold.relay.agents import AgentEntry
-from bluebellfold.relay.store.messages import UpdateAgents
+from bluebellfold.relay.store.messages import RegisterAgent, UpdateAgents
 from bluebellfold.relay.store.watching import KindWatch
 
 AGENTS_KIND = 'bluebellfold-agents'
@@ -111,7 +111,12 @@
 
 
 class AgentRegistrar(Actor):
-    """Register this agent in the store, and deregister it."""
+    """Register this agent in the store once it is told to, and deregister it.
+
+    Balancers look flows up at each listed agent, and reset a flow once all have
+    denied it. An agent that is started after its upstream has left could deny
+    none for the length of the idle time, so it isn't listed.
+    """
 
     reactions = Registry(name='reactions of the registrar')
 
@@ -120,10 +125,7 @@
         self._client = ObjectStoreClient(endpoint=endpoint)
         self._entry = entry
         self._backoff = _create_backoff()
-
-    async def open(self) -> None:
-        """Start the registration, which is retried until it succeeds."""
-        self.supervise(self._register, name='register')
+        self._is_registering = False
 
     async def close(self) -> None:
         """Close the connection to the store."""
@@ -138,6 +140,14 @@
         except StoreError as error:
             log_event(_log, 'BBF0734', object_name=name, problem=error.problem)
 
+    @reactions.add(RegisterAgent)
+    def _start_registration(self, _: RegisterAgent) -> None:
+        # The registration is retried until it succeeds.
+        if self._is_registering:
+            return
+        self._is_registering = True
+        self.supervise(self._register, name='register')
+
     async def _delete_object(self, name: str) -> None:
         stored = await self._client.read(AGENTS_KIND, name)
         if stored:
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -41,6 +41,12 @@
         self._revision = revision
 
 
+class RegisterAgent(Message):
+    """Register the agent in the store: its upstream has been heard."""
+
+    __slots__ = ()
+
+
 class SetBalancers(Message):
     """Set about how many balancers share what they know of the store."""
 
--- a/bluebellfold/relay/store/tests/test_agents.py
+++ b/bluebellfold/relay/store/tests/test_agents.py
@@ -10,6 +10,7 @@
     AGENTS_KIND,
     AgentRegistrar,
     AgentWatch,
+    RegisterAgent,
     UpdateAgents,
 )
 from bluebellfold.standins.object_api import PlatformStandin
@@ -65,6 +66,7 @@
         entry=AgentEntry(address=address, service='counter', zone='a'),
     )
     running = asyncio.create_task(registrar.run())
+    registrar.tell(RegisterAgent())
     async with asyncio.timeout(5):
         while address[0] not in standin.store.names(AGENTS_KIND):
             await asyncio.sleep(0.01)
@@ -120,3 +122,18 @@
         assert standin.store.revision == before
 
     asyncio.run(run_watched(scenario))
+
+
+# Guards against lookups of lost flows that wait for an agent whose upstream has
+# left: it was listed again when its process was started again.
+def test_agent_that_has_heard_no_upstream_is_not_listed():
+    async def scenario(standin, _):
+        registrar = AgentRegistrar(
+            endpoint=standin.endpoint, entry=AgentEntry(address=FIRST)
+        )
+        running = asyncio.create_task(registrar.run())
+        await asyncio.sleep(0.1)
+        assert not standin.store.names(AGENTS_KIND)
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -32,6 +32,7 @@
 )
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.collectors import Journal
+from bluebellfold.relay.store import RegisterAgent
 from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.messages import (
@@ -86,6 +87,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._balancer_socket: DatagramSocket | None = None
         self._outbox: Outbox | None = None
+        self._registrar: Actor | None = None
         self._outbound_socket: DatagramSocket | None = None
         self._upstream_socket: DatagramSocket | None = None
         self._relay = UpstreamRelay(
@@ -103,6 +105,10 @@
         """Tell whether the upstream has deregistered."""
         return self._relay.upstream_deregistered
 
+    def attach_registrar(self, registrar: Actor) -> None:
+        """Set the task that registers the agent once its upstream is heard."""
+        self._registrar = registrar
+
     def gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
         return {
@@ -184,6 +190,7 @@
             message.announcement, self._clock.now()
         )
         message.reply.put(applied)
+        self._register_if_heard()
         self._schedule_tick()
 
     @reactions.add(ApplyDeregistration)
@@ -242,8 +249,15 @@
                 self.guard(self._relay.handle_upstream_packet, packet, now)
             else:
                 self._journal.count(packet.name)
+        self._register_if_heard()
         self._schedule_tick()
 
+    def _register_if_heard(self) -> None:
+        if self._registrar is None or not self._relay.upstream_heard:
+            return
+        self._registrar.tell(RegisterAgent())
+        self._registrar = None
+
     def _read_upstream_errors(self) -> None:
         # The upstream sends nothing to this socket. The socket raises an error
         # after a packet to a closed port.
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -22,6 +22,7 @@
     """
 
     __slots__ = (
+        '_is_heard',
         '_last_seen_at',
         '_order',
         '_refused',
@@ -41,9 +42,15 @@
         self._timeout_seconds = MAX_MISSED_INTERVALS * announcement_seconds
         self._order = StartOrder(interval_seconds=announcement_seconds)
         self._last_seen_at = now
+        self._is_heard = False
         self._refused = False
         self._suspected = False
 
+    @property
+    def is_heard(self) -> bool:
+        """Tell whether this agent has heard its upstream at all."""
+        return self._is_heard
+
     @property
     def is_announced(self) -> bool:
         """Tell whether the upstream has announced itself to this agent."""
@@ -116,6 +123,7 @@
 
     def mark_alive(self, now: float) -> None:
         """Record that the upstream has sent something."""
+        self._is_heard = True
         self._last_seen_at = now
         self._refused = False
         self._suspected = False
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -119,6 +119,11 @@
         """Return how many balancers are subscribed."""
         return len(self._reporter.subscriptions)
 
+    @property
+    def upstream_heard(self) -> bool:
+        """Tell whether the upstream has announced itself or sent a packet."""
+        return self._health.is_heard
+
     @property
     def upstream_deregistered(self) -> bool:
         """Tell whether the upstream has deregistered."""
