Keep new flows out of the zones that the operator evacuates

Cause: a planned evacuation of a zone had no means of reaching balancers and agents; new flows went on to the zone's upstreams. Change: balancers watch the kind of evacuations where the settings give a bound, filter the agents of evacuated zones before selection, tell the state with its revision to the agents that they follow, and learn newer ones from load reports. Agents decline offers while their zone is evacuated. Flows without an upstream elsewhere are refused at once.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -426,3 +426,21 @@
     meaning='a queued flow was removed: its client stopped retransmitting',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0746',
+    level=logging.INFO,
+    meaning='the evacuation of a zone, as known to a balancer, changed',
+    remedy='check the zone name if the line counts no agents in it',
+)
+register(
+    number='BBF0747',
+    level=logging.INFO,
+    meaning="the evacuation of the agent's zone, as told to it, changed",
+    remedy=NO_REMEDY,
+)
+register(
+    number='BBF0748',
+    level=logging.WARNING,
+    meaning='the object of an evacuation names no zone and is ignored',
+    remedy='remove the object named in the log line',
+)
--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -20,7 +20,11 @@
 )
 from bluebellfold.relay.collectors import Journal, StatusServer
 from bluebellfold.relay.operators import BalancerSettings, load_balancer
-from bluebellfold.relay.store import AgentWatch, ConfigurationWatch
+from bluebellfold.relay.store import (
+    AgentWatch,
+    ConfigurationWatch,
+    EvacuationWatch,
+)
 
 ROLE = 'balancer'
 
@@ -52,10 +56,16 @@
             endpoint=process.store, actor=self._main_actor
         )
         agents = AgentWatch(endpoint=process.store, actor=self._main_actor)
+        evacuations = None
+        if process.bounds.evacuate_milliseconds is not None:
+            evacuations = EvacuationWatch(
+                endpoint=process.store, actor=self._main_actor
+            )
         self._main_actor.attach_watches(
-            configuration=configuration, agents=agents
+            configuration=configuration, agents=agents, evacuations=evacuations
         )
-        helpers = (configuration, agents)
+        watches = (configuration, agents, evacuations)
+        helpers = tuple(filter(None, watches))
         status_server = partial(
             StatusServer,
             journal=self._journal,
--- a/bluebellfold/platform/__init__.py
+++ b/bluebellfold/platform/__init__.py
@@ -12,6 +12,11 @@
     ReadinessCall,
     decode_call,
 )
+from bluebellfold.platform.evacuations import (
+    EVACUATIONS_KIND,
+    UNUSABLE_ZONE,
+    decode_evacuated_zone,
+)
 from bluebellfold.platform.json_reader import (
     is_integer,
     is_number,
@@ -51,6 +56,7 @@
     'AnnounceCall',
     'CONFIGURATION_KIND',
     'CONFIGURATION_NAME',
+    'EVACUATIONS_KIND',
     'InboundCall',
     'Change',
     'Changes',
@@ -65,10 +71,12 @@
     'UNKNOWN_CALL',
     'UNREADABLE_ANNOUNCEMENT',
     'UNREADABLE_CONFIGURATION',
+    'UNUSABLE_ZONE',
     'DeregisterCall',
     'decode_announcement',
     'decode_call',
     'decode_client_packet',
+    'decode_evacuated_zone',
     'decode_packet',
     'decode_routing',
     'encode_reset',
--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -65,6 +65,12 @@
         """Return the agent's entry in the list."""
         return self._entry
 
+    @property
+    def zone(self) -> str:
+        """Return the zone of the agent, empty if it is unknown."""
+        reported = self._load.zone if self._load else ''
+        return reported or self._entry.zone
+
     @property
     def is_followed(self) -> bool:
         """Return whether the balancer subscribes to the agent's reports."""
@@ -242,11 +248,19 @@
     few in a large fleet, so they are held apart.
     """
 
-    __slots__ = ('_awaited', '_by_service', '_followed', '_reporting', '_views')
+    __slots__ = (
+        '_awaited',
+        '_by_service',
+        '_followed',
+        '_reporting',
+        '_views',
+        '_zones',
+    )
 
     def __init__(self) -> None:
         self._views: dict[Address, AgentView] = {}
         self._by_service: dict[str, list[AgentView]] = {}
+        self._zones: dict[str, set[str]] = {}
         self._followed: dict[Address, AgentView] = {}
         self._reporting: dict[Address, AgentView] = {}
         self._awaited: dict[Address, AgentView] = {}
@@ -322,6 +336,19 @@
         """Return the views of the agents that are listed for a service."""
         return self._by_service.get(service, [])
 
+    def zones_for(self, service: str) -> set[str]:
+        """Return the zones of the agents that are listed for a service.
+
+        An entry that names no service may be of any until its agent reports.
+        An unknown zone is empty.
+        """
+        unnamed = {
+            view.zone
+            for view in self.listed_for('')
+            if view.load is None or view.load.service == service
+        }
+        return self._zones.get(service, set()) | unnamed
+
     def follow(self, addresses: Collection[Address], now: float) -> None:
         """Follow these agents and no others."""
         for address, view in tuple(self._followed.items()):
@@ -396,6 +423,9 @@
 
     def _index_services(self) -> None:
         self._by_service = {}
+        self._zones = {}
         for indexed in self._views.values():
             listed = self._by_service.setdefault(indexed.entry.service, [])
             listed.append(indexed)
+            zones = self._zones.setdefault(indexed.entry.service, set())
+            zones.add(indexed.entry.zone)
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -31,6 +31,7 @@
     SetBalancers,
     SetRoutesFresh,
     UpdateAgents,
+    UpdateEvacuations,
     UpdateRoutes,
 )
 
@@ -67,6 +68,7 @@
         self._leaving = False
         self._configuration_watch: Actor | None = None
         self._agent_watch: Actor | None = None
+        self._evacuation_watch: Actor | None = None
         self._relist_due = clock.now()
         self._was_ready = False
         self._balancers = 0
@@ -85,6 +87,8 @@
         """Return the current values of the gauges by metric name."""
         return {
             'configuration-version': self._relay.version,
+            'evacuated-zones': len(self._relay.evacuated_zones),
+            'evacuations-revision': self._relay.evacuations_revision,
             'flows': self._relay.cached_flows,
             'flows-waiting': self._relay.queued_flows,
         }
@@ -107,8 +111,15 @@
             loop.remove_reader(datagram_socket)
             datagram_socket.close()
 
-    def attach_watches(self, *, configuration: Actor, agents: Actor) -> None:
+    def attach_watches(
+        self,
+        *,
+        configuration: Actor,
+        agents: Actor,
+        evacuations: Actor | None = None,
+    ) -> None:
         """Set the watches that are told to relist after a missed change."""
+        self._evacuation_watch = evacuations
         self._configuration_watch = configuration
         self._agent_watch = agents
 
@@ -142,6 +153,12 @@
             message.entries, self._clock.now(), revision=message.revision
         )
 
+    @reactions.add(UpdateEvacuations)
+    def _update_evacuations(self, message: UpdateEvacuations) -> None:
+        self._relay.update_evacuations(
+            message.zones, self._clock.now(), revision=message.revision
+        )
+
     @reactions.add(CheckReadiness)
     def _reply_readiness(self, message: CheckReadiness) -> None:
         message.reply.put(self._check_readiness())
@@ -215,6 +232,8 @@
             outdated.append(self._configuration_watch)
         if self._relay.agents_outdated(now):
             outdated.append(self._agent_watch)
+        if self._evacuation_watch and self._relay.evacuations_outdated(now):
+            outdated.append(self._evacuation_watch)
         for watch in outdated:
             self._relist_due = now + RELIST_INTERVAL_SECONDS
             watch.tell(Relist(reason='other balancers have a newer version'))
@@ -224,5 +243,10 @@
         if count == self._balancers:
             return
         self._balancers = count
-        for watch in (self._configuration_watch, self._agent_watch):
+        watches = (
+            self._configuration_watch,
+            self._agent_watch,
+            self._evacuation_watch,
+        )
+        for watch in filter(None, watches):
             watch.tell(SetBalancers(count=count))
--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -9,6 +9,7 @@
     DECLINE_NAMES,
     DECLINED_FULL,
     DECLINED_REJECTED,
+    DECLINED_UNANSWERED,
     NO_AGENT,
     Address,
     AgentTable,
@@ -18,6 +19,7 @@
     select_agent,
 )
 from bluebellfold.relay.callers.agent_follower import AgentFollower
+from bluebellfold.relay.callers.evacuations import Evacuations
 from bluebellfold.relay.callers.flow_cache import Assignment, FlowCache
 from bluebellfold.relay.callers.flow_queue import (
     RETRANSMIT_SECONDS,
@@ -47,6 +49,7 @@
 LAST_ATTEMPT = 2
 # The greatest value of the one-byte field: only the agent's own limit applies.
 NO_IN_FLIGHT_LIMIT = 0xFF
+ALL_ZONES_EVACUATED = 'all-zones-evacuated'
 MS_PER_SECOND = 1000
 _HASH_RANGE = 0x100000000
 
@@ -57,6 +60,7 @@
     __slots__ = (
         '_agent_table',
         '_draw',
+        '_evacuations',
         '_flows',
         '_follower',
         '_journal',
@@ -75,6 +79,7 @@
         agent_table: AgentTable,
         follower: AgentFollower,
         routes: ActiveRoutes,
+        evacuations: Evacuations,
         flows: FlowCache,
         transport: Transport,
         journal: Journal,
@@ -86,6 +91,7 @@
         self._agent_table = agent_table
         self._follower = follower
         self._routes = routes
+        self._evacuations = evacuations
         self._flows = flows
         self._transport = transport
         self._journal = journal
@@ -112,8 +118,8 @@
         agent = assignment.agent
         if agent is not None:
             view = self._agent_table.find(agent)
-            reachable = view is not None and view.is_live(now)
-            if reachable and packet.attempt < LAST_ATTEMPT:
+            offerable = view is not None and self._is_offerable(view, now)
+            if offerable and packet.attempt < LAST_ATTEMPT:
                 self._send_offer(packet, assignment, view, now)
                 return
             assignment.exclude(agent)
@@ -148,6 +154,8 @@
             assignment.unassign(address)
         else:
             assignment.exclude(address)
+        if message.reason == DECLINED_UNANSWERED:
+            assignment.expect_answer()
         view = self._agent_table.find(address)
         if view is not None:
             backoff = DECLINE_BACKOFF_SECONDS.get(message.reason, 0)
@@ -166,6 +174,16 @@
         if self.queued_flows:
             self._assign_in_order(self._queue.list_for_service(service), now)
 
+    def refuse_evacuated(self, now: float) -> None:
+        """Refuse queued flows whose upstreams are all in evacuated zones."""
+        for service in self._queue.services:
+            if not self._is_evacuated(service):
+                continue
+            for queued in self._queue.list_for_service(service):
+                flow = queued.packet.flow
+                assignment = self._flows.find_or_add(flow, now)
+                self._assign(queued.packet, assignment, now)
+
     def tick(self, now: float) -> None:
         """Time out queued flows and pending offers, and retry the queue."""
         for expired in self._queue.pop_expired(now):
@@ -214,6 +232,7 @@
             # Asked for a report at each tick until it sends one.
             view.suspect()
         assignment.exclude(address)
+        assignment.expect_answer()
         self._assign(packet, assignment, now)
 
     def _assign(
@@ -227,8 +246,14 @@
             self._refuse_unrouted(packet)
             return
         service = route.select_service(_hash_fraction(packet.flow))
+        if self._is_evacuated(service) and not assignment.awaits_answer:
+            self._journal.count('flows-refused-evacuated')
+            self._refuse(packet, ALL_ZONES_EVACUATED)
+            return
         selected = select_agent(
-            self._agent_table.of_service(service),
+            self._evacuations.filter_usable(
+                self._agent_table.of_service(service)
+            ),
             zone=self._zone,
             now=now,
             draw=self._draw,
@@ -248,6 +273,16 @@
         self._queue.remove(packet.flow)
         self._send_offer(packet, assignment, selected, now)
 
+    def _is_offerable(self, view: AgentView, now: float) -> bool:
+        return view.is_live(now) and not self._evacuations.covers(view)
+
+    def _is_evacuated(self, service: str) -> bool:
+        """Return whether all listed agents are in evacuated zones."""
+        if not self._evacuations.zones:
+            return False
+        listed_zones = self._agent_table.zones_for(service)
+        return bool(listed_zones) and listed_zones <= self._evacuations.zones
+
     def _send_offer(
         self,
         packet: Packet,
--- a/bluebellfold/relay/callers/agent_follower.py
+++ b/bluebellfold/relay/callers/agent_follower.py
@@ -20,6 +20,7 @@
     Versions,
     select_subset,
 )
+from bluebellfold.relay.callers.evacuations import Evacuations
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.versions import ActiveRoutes
 
@@ -45,6 +46,7 @@
         '_agent_table',
         '_agents_revision',
         '_draw',
+        '_evacuations',
         '_followers',
         '_identity',
         '_routes',
@@ -61,6 +63,7 @@
         zone: str,
         agent_table: AgentTable,
         routes: ActiveRoutes,
+        evacuations: Evacuations,
         transport: Transport,
         draw: Callable[[], float],
     ) -> None:
@@ -68,6 +71,7 @@
         self._zone = zone
         self._agent_table = agent_table
         self._routes = routes
+        self._evacuations = evacuations
         self._transport = transport
         self._draw = draw
         self._agents_revision = 0
@@ -127,7 +131,8 @@
                 return
         self._sampled_at[service] = now
         listed = self._agent_table.listed_for(service)
-        others = [view for view in listed if not view.is_followed]
+        usable = self._evacuations.filter_usable(listed)
+        others = [view for view in usable if not view.is_followed]
         for _ in range(min(SAMPLE_SIZE, len(others))):
             view = others.pop(int(self._draw() * len(others)))
             self._ask(view, now)
@@ -163,6 +168,11 @@
                 followed.extend(view.address for view in listed)
                 continue
             followed.extend(self._select_subset(listed, now))
+            usable = self._evacuations.filter_usable(listed)
+            if 0 < len(usable) < len(listed):
+                # The agents of evacuated zones are followed on, so that they
+                # learn the state, but take no flows.
+                followed.extend(self._select_subset(usable, now))
         self._agent_table.follow(dict.fromkeys(followed), now)
 
     def _select_subset(
@@ -197,6 +207,7 @@
                 versions=Versions(
                     configuration=self._routes.version,
                     agents=self._agents_revision,
+                    evacuation=self._evacuations.find(view.zone),
                 ),
                 once=not view.is_followed,
             ),
--- a/bluebellfold/relay/callers/flow_cache.py
+++ b/bluebellfold/relay/callers/flow_cache.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         '_agent',
+        '_awaits_answer',
         '_declines',
         '_excluded_agents',
         '_has_ended',
@@ -42,6 +43,7 @@
         self._opened_at = now
         self._opening_sequence: int | None = None
         self._declines = 0
+        self._awaits_answer = False
         self._is_established = False
         self._has_ended = False
         self._registered_at: float | None = None
@@ -56,6 +58,15 @@
         """Return whether the client has received a packet of an upstream."""
         return self._is_established
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Return whether the client may have received an answer since.
+
+        An agent may have opened the flow without this balancer hearing of it.
+        The client's next opening packet would show that it had no answer.
+        """
+        return self._awaits_answer
+
     @property
     def opened_at(self) -> float:
         """Return when the client sent its first opening packet."""
@@ -92,12 +103,17 @@
         if self._agent == agent:
             self._agent = None
 
+    def expect_answer(self) -> None:
+        """Record that an upstream may have answered the opening packet."""
+        self._awaits_answer = True
+
     def record_opening(self, sequence: int, opened_at: float) -> None:
         """Record an opening packet.
 
         Another sequence number than before means that the client has reused
         its port for a new flow.
         """
+        self._awaits_answer = False
         if self._opening_sequence != sequence:
             self._opening_sequence = sequence
             self._opened_at = opened_at
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -24,6 +24,7 @@
 )
 from bluebellfold.relay.callers.admission import FlowAdmission
 from bluebellfold.relay.callers.agent_follower import AgentFollower
+from bluebellfold.relay.callers.evacuations import Evacuations
 from bluebellfold.relay.callers.flow_cache import FlowCache
 from bluebellfold.relay.callers.forwarding import FlowForwarder
 from bluebellfold.relay.callers.transport import Transport
@@ -55,6 +56,7 @@
         '_agent_table',
         '_agents_listed',
         '_agents_revision',
+        '_evacuations',
         '_flows',
         '_follower',
         '_forwarder',
@@ -84,12 +86,14 @@
         self._agents_listed = False
         self._agents_revision = 0
         self._newest_agents_revision = NewestVersion()
+        self._evacuations = Evacuations()
         self._flows = FlowCache()
         self._follower = AgentFollower(
             identity=identity,
             zone=zone,
             agent_table=self._agent_table,
             routes=self._routes,
+            evacuations=self._evacuations,
             transport=transport,
             draw=draw,
         )
@@ -105,6 +109,7 @@
             agent_table=self._agent_table,
             follower=self._follower,
             routes=self._routes,
+            evacuations=self._evacuations,
             flows=self._flows,
             transport=transport,
             journal=journal,
@@ -130,6 +135,16 @@
         """Return how many flows are queued for an upstream."""
         return self._admission.queued_flows
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the zones that count as evacuated."""
+        return self._evacuations.zones
+
+    @property
+    def evacuations_revision(self) -> int:
+        """Return the revision of the list of evacuations."""
+        return self._evacuations.revision
+
     def estimate_balancers(self) -> int:
         """Return about how many balancers there are."""
         return self._follower.estimate_balancers()
@@ -148,6 +163,10 @@
         """Return whether the agent list has been outdated for too long."""
         return self._newest_agents_revision.outdates(self._agents_revision, now)
 
+    def evacuations_outdated(self, now: float) -> bool:
+        """Return whether agents know of evacuations that the list lacks."""
+        return self._evacuations.are_outdated(now)
+
     def update_routes(self, routes: RoutingTable, *, now: float) -> bool:
         """Activate routes if they are newer, and return whether they are."""
         version_before = self._routes.version
@@ -182,6 +201,17 @@
                 removed=list(change.removed),
                 revision=revision,
             )
+            self._admission.refuse_evacuated(now)
+
+    def update_evacuations(
+        self, zones: frozenset[str], now: float, *, revision: int
+    ) -> None:
+        """Replace the evacuated zones by those of a revision of the store."""
+        changed = self._evacuations.update_listed(zones, revision=revision)
+        for zone in sorted(changed):
+            self._log_evacuation(zone, source='store')
+        if changed:
+            self._apply_evacuations(now)
 
     def handle_packet(self, packet: Packet, now: float) -> None:
         """Assign, forward or refuse a client's packet."""
@@ -241,6 +271,10 @@
             self._log_agent_state(view, was_live=was_live)
         self._routes.observe(load.versions.configuration, now)
         self._newest_agents_revision.observe(load.versions.agents, now)
+        evacuation = load.versions.evacuation
+        if self._evacuations.observe(load.zone, evacuation, now):
+            self._log_evacuation(load.zone, source=address[0])
+            self._apply_evacuations(now)
         self._admission.assign_queued(load.service, now)
 
     @handle_message.register
@@ -319,6 +353,22 @@
             )
         )
 
+    def _apply_evacuations(self, now: float) -> None:
+        # The agents that this balancer follows learn it within a tick.
+        self._follower.renew_at_once(now)
+        self._admission.refuse_evacuated(now)
+
+    def _log_evacuation(self, zone: str, *, source: str) -> None:
+        evacuation = self._evacuations.find(zone)
+        self._journal.log(
+            'BBF0746',
+            zone=zone,
+            evacuated=evacuation.evacuated,
+            revision=evacuation.revision,
+            agents=sum(view.zone == zone for view in self._agent_table.views),
+            source=source,
+        )
+
     def _detect_pause(self, now: float) -> None:
         paused = now - self._last_run_at
         self._last_run_at = now
--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -1,4 +1,4 @@
-"""Watch the configuration and the agents in the platform's store."""
+"""Watch the configuration, agents and evacuations in the platform's store."""
 
 from bluebellfold.relay.store.agents import (
     AGENTS_KIND,
@@ -6,11 +6,13 @@
     AgentWatch,
 )
 from bluebellfold.relay.store.configuration import ConfigurationWatch
+from bluebellfold.relay.store.evacuations import EvacuationWatch
 from bluebellfold.relay.store.messages import (
     Relist,
     SetBalancers,
     SetRoutesFresh,
     UpdateAgents,
+    UpdateEvacuations,
     UpdateRoutes,
 )
 
@@ -19,9 +21,11 @@
     'AgentRegistrar',
     'AgentWatch',
     'ConfigurationWatch',
+    'EvacuationWatch',
     'Relist',
     'SetBalancers',
     'SetRoutesFresh',
     'UpdateAgents',
+    'UpdateEvacuations',
     'UpdateRoutes',
 )
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -41,6 +41,19 @@
         self._revision = revision
 
 
+class UpdateEvacuations(Message):
+    """Replace the evacuated zones, as of a revision of the store."""
+
+    __slots__ = ('_revision', '_zones')
+
+    revision: int = read_only('_revision')
+    zones: frozenset[str] = read_only('_zones')
+
+    def __init__(self, *, zones: frozenset[str], revision: int) -> None:
+        self._zones = zones
+        self._revision = revision
+
+
 class SetBalancers(Message):
     """Set about how many balancers share what they know of the store."""
 
--- a/bluebellfold/relay/store/watching.py
+++ b/bluebellfold/relay/store/watching.py
@@ -72,6 +72,9 @@
     def apply(self, changes: Changes) -> None:
         """Apply changes to the known objects."""
 
+    def handle_unchanged(self, revision: int) -> None:
+        """Handle that nothing of the kind changed up to a revision."""
+
     def handle_reachability(self, *, reachable: bool) -> None:
         """Handle the success or failure of the last call to the store."""
 
@@ -129,6 +132,8 @@
         self._revision = changes.revision
         if changes.changes:
             self.apply(changes)
+        else:
+            self.handle_unchanged(changes.revision)
 
     async def _handle_failure(self, error: StoreError) -> None:
         if self._failures == 0:
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -109,6 +109,7 @@
             'balancers': self._relay.balancer_count,
             'flows': self._relay.flow_count,
             'requests-in-progress': self._relay.in_flight(self._clock.now()),
+            'zone-evacuated': self._relay.zone_evacuated,
         }
 
     async def open(self) -> None:
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -1,8 +1,8 @@
 """Decide whether to admit a new flow to an upstream.
 
 Only the agent decides. It declines flows while its upstream is draining,
-down or full, and flows of another service, even if a balancer's view of the
-upstream differs.
+down or full, or its zone evacuated, and flows of another service, even if a
+balancer's view of the upstream differs.
 """
 
 from bluebellfold.core import format_flow
@@ -10,6 +10,7 @@
     DECLINE_NAMES,
     DECLINED_DOWN,
     DECLINED_DRAINING,
+    DECLINED_EVACUATED,
     DECLINED_FULL,
     DECLINED_OTHER_SERVICE,
     DECLINED_UNANSWERED,
@@ -109,6 +110,8 @@
     ) -> None:
         packet = message.packet
         self._journal.count('flows-declined')
+        if reason == DECLINED_EVACUATED:
+            self._journal.count('flows-declined-evacuated')
         self._journal.log(
             'BBF0721',
             flow=format_flow(packet.flow),
@@ -139,6 +142,8 @@
         if flow is not None:
             # A copy of the opening packet adds no load.
             return 0
+        if self._reporter.evacuation.evacuated:
+            return DECLINED_EVACUATED
         capacity = queue_capacity(
             MAX_IN_FLIGHT_PER_SLOT,
             slots=self._health.slots,
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -1,5 +1,7 @@
 """Report the state and the load of an upstream to balancers."""
 
+from operator import attrgetter
+
 from bluebellfold.core import NO_VERSION, Announcement
 from bluebellfold.relay.agents import (
     DRAINING,
@@ -9,6 +11,7 @@
     UNKNOWN,
     Address,
     AgentLoad,
+    Evacuation,
     LoadReport,
     RequestStats,
     Subscribe,
@@ -99,6 +102,11 @@
         """Return the subscribed balancers."""
         return self._subscriptions
 
+    @property
+    def evacuation(self) -> Evacuation:
+        """Return the newest state of the zone that balancers have told."""
+        return self._versions.evacuation
+
     @property
     def report_due(self) -> float:
         """Return when the next report is due."""
@@ -147,11 +155,18 @@
         self._versions = Versions(
             configuration=max(known.configuration, reported.configuration),
             agents=max(known.agents, reported.agents),
+            evacuation=max(
+                known.evacuation,
+                reported.evacuation,
+                key=attrgetter('revision'),
+            ),
         )
         if is_new:
             self._journal.log('BBF0726', balancer=address[0], subscribed=True)
         if is_new or message.once:
             self.report_to(address, now)
+        if self.evacuation.evacuated != known.evacuation.evacuated:
+            self._report_evacuation(address, now)
         self._update_idle_time()
         return is_new
 
@@ -206,6 +221,16 @@
             self._journal.log('BBF0726', balancer=address[0], subscribed=False)
         self._update_idle_time()
 
+    def _report_evacuation(self, balancer: Address, now: float) -> None:
+        self._journal.log(
+            'BBF0747',
+            zone=self._zone,
+            evacuated=self.evacuation.evacuated,
+            revision=self.evacuation.revision,
+            balancer=balancer[0],
+        )
+        self.report(now)
+
     def _update_idle_time(self) -> None:
         # A balancer without a configuration sends 0.
         told = self._subscriptions.idle_seconds
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -119,6 +119,11 @@
         """Return how many balancers are subscribed."""
         return len(self._reporter.subscriptions)
 
+    @property
+    def zone_evacuated(self) -> bool:
+        """Return whether the zone is evacuated, as balancers have told."""
+        return self._reporter.evacuation.evacuated
+
     @property
     def upstream_deregistered(self) -> bool:
         """Tell whether the upstream has deregistered."""
