--- a/bluebellfold/relay/store/evacuations.py
+++ b/bluebellfold/relay/store/evacuations.py
@@ -38,14 +38,20 @@
         name='reactions of the watch of evacuations', base=KindWatch.reactions
     )
 
-    def __init__(self, *, endpoint: Endpoint, actor: Actor) -> None:
+    def __init__(
+        self,
+        *,
+        endpoint: Endpoint,
+        actor: Actor,
+        wait_seconds: float = WAIT_SECONDS,
+    ) -> None:
         super().__init__(
             kind=EVACUATIONS_KIND,
             client=ObjectStoreClient(endpoint=endpoint),
             backoff=Backoff(
                 randomness=random.Random(), cap_seconds=RETRY_CAP_SECONDS
             ),
-            wait_seconds=WAIT_SECONDS,
+            wait_seconds=wait_seconds,
         )
         self._actor = actor
         self._zones: set[str] = set()
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -14,6 +14,7 @@
 )
 from bluebellfold.platform import decode_client_packet
 from bluebellfold.relay.agents import (
+    NO_EVACUATION,
     READY,
     AgentEntry,
     AgentLoad,
@@ -82,8 +83,10 @@
     ]
 
 
-def versions_of(*, configuration=1, agents=0):
-    return Versions(configuration=configuration, agents=agents)
+def versions_of(*, configuration=1, agents=0, evacuation=NO_EVACUATION):
+    return Versions(
+        configuration=configuration, agents=agents, evacuation=evacuation
+    )
 
 
 def request_stats_of(*, work_seconds=0, failure_share=0):
