--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -45,6 +45,8 @@
 agents = {host}:{peer}
 readiness = {host}:{readiness}
 metrics = {host}:{metrics}
+[bounds]
+evacuate_milliseconds = 5000
 [store]
 address = {store}
 """
