--- a/bluebellfold/daemons/tests/test_evacuations.py
+++ b/bluebellfold/daemons/tests/test_evacuations.py
@@ -14,7 +14,7 @@
 from bluebellfold.platform import EVACUATIONS_KIND
 from bluebellfold.soak.proxy import FORWARDING, STALLED, StoreProxy
 from bluebellfold.standins.relay_peers import FlowResetError
-from bluebellfold.standins.relay_site import RelaySite
+from bluebellfold.standins.relay_site import BALANCER_SETTINGS, RelaySite
 
 # The bound of the platform.
 EVACUATE_SECONDS = 5.0
@@ -62,19 +62,27 @@
             await wait_until(is_reported)
 
 
+class UnboundedSite(ProxiedSite):
+    """Run a site whose settings bound no evacuation."""
+
+    async def start_balancer(self, host):
+        settings = BALANCER_SETTINGS.replace('evacuate_milliseconds', '#')
+        return await self._start('balancer', host, settings)
+
+
 @asynccontextmanager
-async def run_site(folder):
-    site = ProxiedSite(folder=folder)
+async def run_site(site):
     async with site.running(balancers=2, agents=2):
         announcing = asyncio.create_task(keep_announcing(site))
         await wait_until_ready(site)
-        yield site
+        yield
         announcing.cancel()
 
 
 def test_new_flows_are_refused_and_open_ones_stay(tmp_path):
     async def scenario():
-        async with run_site(tmp_path) as site:
+        site = ProxiedSite(folder=tmp_path)
+        async with run_site(site):
             flow = await open_with_retries(site.client())
             await flow.send_request(b'before')
             site.evacuate()
@@ -94,9 +102,26 @@
     asyncio.run(scenario())
 
 
+def test_process_without_a_bound_watches_no_evacuations(tmp_path):
+    # Deployments without evacuations are served as before.
+    async def scenario():
+        site = UnboundedSite(folder=tmp_path)
+        async with run_site(site):
+            site.evacuate()
+            flow = await open_with_retries(site.client())
+            await flow.send_request(b'served')
+            await site.wait_for_gauge(
+                'evacuations_revision', -1, site.balancers
+            )
+            assert await open_with_retries(site.client())
+
+    asyncio.run(scenario())
+
+
 def test_balancer_without_the_store_learns_from_agents(tmp_path):
     async def scenario():
-        async with run_site(tmp_path) as site:
+        site = ProxiedSite(folder=tmp_path)
+        async with run_site(site):
             cut = site.balancers[0]
             site.proxies[cut.host].mode = STALLED
             site.evacuate()
