--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -1,4 +1,4 @@
-"""Watch the configuration and the agents in the platform's store."""
+"""Watch the configuration, agents and evacuations in the platform's store."""
 
 from bluebellfold.relay.store.agents import (
     AGENTS_KIND,
@@ -6,12 +6,14 @@
     AgentWatch,
 )
 from bluebellfold.relay.store.configuration import ConfigurationWatch
+from bluebellfold.relay.store.evacuations import EvacuationWatch
 from bluebellfold.relay.store.messages import (
     RegisterAgent,
     Relist,
     SetBalancers,
     SetRoutesFresh,
     UpdateAgents,
+    UpdateEvacuations,
     UpdateRoutes,
 )
 
@@ -20,10 +22,12 @@
     'AgentRegistrar',
     'AgentWatch',
     'ConfigurationWatch',
+    'EvacuationWatch',
     'RegisterAgent',
     'Relist',
     'SetBalancers',
     'SetRoutesFresh',
     'UpdateAgents',
+    'UpdateEvacuations',
     'UpdateRoutes',
 )
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -124,6 +124,11 @@
         """Tell whether the upstream has announced itself or sent a packet."""
         return self._health.is_heard
 
+    @property
+    def zone_evacuated(self) -> bool:
+        """Return whether the zone is evacuated, as balancers have told."""
+        return self._reporter.evacuation.evacuated
+
     @property
     def upstream_deregistered(self) -> bool:
         """Tell whether the upstream has deregistered."""
