Serve and ask for copies of the state while the store is away

Cause: a balancer that the store refuses from its start had neither routes nor agents, and its flows waited until the store answered. Change: each balancer keeps the configuration and the list of agents as stored and serves them on the peers endpoint. One that has not read a kind since its start asks its seeds in turn, from 0.3 s on, and uses a copy until the store answers. A copy is never older than what is known and at most 30 s old. The first run of a balancer no longer counts as a pause (BBF0741).

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -384,6 +384,24 @@
     meaning='a reset for a flow that the upstream does not hold is suppressed',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0753',
+    level=logging.INFO,
+    meaning='a copy of the state is taken from another balancer',
+    remedy='check why the store does not answer this balancer',
+)
+register(
+    number='BBF0754',
+    level=logging.WARNING,
+    meaning='another balancer gave no copy of the state that can be used',
+    remedy='none needed while another seed has a copy; else see the problem',
+)
+register(
+    number='BBF0755',
+    level=logging.INFO,
+    meaning="the store's answer replaced the copy from another balancer",
+    remedy=NO_REMEDY,
+)
 register(
     number='BBF0743',
     level=logging.INFO,
--- a/bluebellfold/core/http_client.py
+++ b/bluebellfold/core/http_client.py
@@ -6,7 +6,10 @@
 import h11
 
 from bluebellfold.core.http import HttpConnection
-from bluebellfold.core.platform_errors import PlatformUnavailableError
+from bluebellfold.core.platform_errors import (
+    PlatformResponseError,
+    PlatformUnavailableError,
+)
 from bluebellfold.core.record import Record, read_only
 from bluebellfold.core.site import Endpoint
 
@@ -55,12 +58,19 @@
         self._idle: HttpConnection | None = None
 
     async def send_request(
-        self, request: ClientRequest, *, timeout_seconds: float
+        self,
+        request: ClientRequest,
+        *,
+        timeout_seconds: float,
+        max_body_bytes: int | None = None,
     ) -> ClientResponse:
-        """Return the response, or raise PlatformUnavailableError."""
+        """Return the response, or raise PlatformUnavailableError.
+
+        A body of more than ``max_body_bytes`` raises PlatformResponseError.
+        """
         try:
             async with asyncio.timeout(timeout_seconds):
-                response = await self._exchange(request)
+                response = await self._exchange(request, max_body_bytes)
         except (OSError, h11.ProtocolError) as error:
             reason = str(error) or type(error).__name__
             raise self._unavailable_error(reason) from error
@@ -76,10 +86,14 @@
             self._idle.close()
         self._idle = None
 
-    async def _exchange(self, request: ClientRequest) -> ClientResponse:
+    async def _exchange(
+        self, request: ClientRequest, max_body_bytes: int | None
+    ) -> ClientResponse:
         connection = await self._acquire()
         try:
-            return await self._send_and_receive(connection, request)
+            return await self._send_and_receive(
+                connection, request, max_body_bytes
+            )
         finally:
             self._release(connection)
 
@@ -99,13 +113,16 @@
         self._idle = connection
 
     async def _send_and_receive(
-        self, connection: HttpConnection, request: ClientRequest
+        self,
+        connection: HttpConnection,
+        request: ClientRequest,
+        max_body_bytes: int | None,
     ) -> ClientResponse:
         await connection.send(self._encode_request(request))
         if request.body:
             await connection.send(h11.Data(data=request.body))
         await connection.send(h11.EndOfMessage())
-        return await _receive_response(connection)
+        return await _receive_response(connection, max_body_bytes)
 
     def _encode_request(self, request: ClientRequest) -> h11.Request:
         return h11.Request(
@@ -125,7 +142,9 @@
         )
 
 
-async def _receive_response(connection: HttpConnection) -> ClientResponse:
+async def _receive_response(
+    connection: HttpConnection, max_body_bytes: int | None
+) -> ClientResponse:
     status = 0
     body = bytearray()
     event = await connection.receive()
@@ -136,5 +155,15 @@
             status = event.status_code
         if isinstance(event, h11.Data):
             body += event.data
+            _check_size(body, max_body_bytes)
         event = await connection.receive()
     return ClientResponse(status=status, body=bytes(body))
+
+
+def _check_size(body: bytearray, max_body_bytes: int | None) -> None:
+    if max_body_bytes is None or len(body) <= max_body_bytes:
+        return
+    raise PlatformResponseError(
+        problem=f'the response has more than {max_body_bytes} bytes',
+        remedy='check what listens at the address',
+    )
--- a/bluebellfold/core/http_server.py
+++ b/bluebellfold/core/http_server.py
@@ -57,15 +57,34 @@
 
 
 class HttpServer:
-    """Own a listening socket and the connections that it accepted."""
-
-    __slots__ = ('_endpoint', '_handle_request', '_server')
+    """Own a listening socket and the connections that it accepted.
+
+    Above ``max_connections`` a new connection is closed at once, and after
+    ``connection_seconds`` each one is; None sets no limit.
+    """
+
+    __slots__ = (
+        '_connection_seconds',
+        '_connections',
+        '_endpoint',
+        '_handle_request',
+        '_max_connections',
+        '_server',
+    )
 
     def __init__(
-        self, *, endpoint: Endpoint, handle_request: RequestHandler
+        self,
+        *,
+        endpoint: Endpoint,
+        handle_request: RequestHandler,
+        max_connections: int | None = None,
+        connection_seconds: float | None = None,
     ) -> None:
         self._endpoint = endpoint
         self._handle_request = handle_request
+        self._max_connections = max_connections
+        self._connection_seconds = connection_seconds
+        self._connections = 0
         self._server: asyncio.Server | None = None
 
     @property
@@ -88,13 +107,19 @@
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._connections == self._max_connections:
+            writer.close()
+            return
+        self._connections += 1
         try:
-            await self._serve_requests(reader, writer)
+            async with asyncio.timeout(self._connection_seconds):
+                await self._serve_requests(reader, writer)
         except (OSError, h11.ProtocolError, TimeoutError):
             # The peer hung up, was idle too long or sent invalid HTTP, so
             # that no response is possible.
             return
         finally:
+            self._connections -= 1
             writer.close()
 
     async def _serve_requests(
--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -4,8 +4,9 @@
 import os
 import sys
 from functools import partial
+from typing import Any
 
-from bluebellfold.core import MonotonicClock, Reply, SettingsError
+from bluebellfold.core import Clock, MonotonicClock, Reply, SettingsError
 from bluebellfold.daemons.relaying import (
     SETTINGS_VARIABLE,
     RelayRunner,
@@ -13,6 +14,8 @@
     report_settings_error,
     run_relay,
 )
+from bluebellfold.platform import CONFIGURATION_KIND
+from bluebellfold.relay.balancers.copies import CopyActor
 from bluebellfold.relay.callers import (
     CheckReadiness,
     ClientActor,
@@ -20,7 +23,11 @@
 )
 from bluebellfold.relay.collectors import Journal, StatusServer
 from bluebellfold.relay.operators import BalancerSettings, load_balancer
-from bluebellfold.relay.store import AgentWatch, ConfigurationWatch
+from bluebellfold.relay.store import (
+    AGENTS_KIND,
+    AgentWatch,
+    ConfigurationWatch,
+)
 
 ROLE = 'balancer'
 
@@ -30,44 +37,62 @@
 class BalancerProcess:
     """Assemble and run the actors and servers of a balancer."""
 
-    __slots__ = ('_journal', '_main_actor', '_path', '_settings')
+    __slots__ = (
+        '_clock',
+        '_copies',
+        '_journal',
+        '_main_actor',
+        '_path',
+        '_settings',
+    )
 
     def __init__(self, *, settings: BalancerSettings, path: str) -> None:
         self._settings = settings
         self._path = path
-        clock = MonotonicClock()
-        self._journal = Journal(logger=_log, clock=clock)
+        self._clock: Clock = MonotonicClock()
+        self._copies: CopyActor | None = None
+        self._journal = Journal(logger=_log, clock=self._clock)
         self._main_actor = ClientActor(
             client_endpoint=settings.clients,
             agent_endpoint=settings.agents,
             zone=settings.process.zone,
-            clock=clock,
+            clock=self._clock,
             journal=self._journal,
         )
 
     async def run(self) -> None:
         """Run until the main actor ends."""
         process = self._settings.process
+        self._copies = self._create_copies()
         configuration = ConfigurationWatch(
-            endpoint=process.store, actor=self._main_actor
+            endpoint=process.store,
+            actor=self._main_actor,
+            copies=self._copies,
+        )
+        agents = AgentWatch(
+            endpoint=process.store,
+            actor=self._main_actor,
+            copies=self._copies,
         )
-        agents = AgentWatch(endpoint=process.store, actor=self._main_actor)
         self._main_actor.attach_watches(
             configuration=configuration, agents=agents
         )
-        helpers = (configuration, agents)
+        helpers = [configuration, agents]
+        if self._copies is not None:
+            helpers.append(self._copies)
         status_server = partial(
             StatusServer,
             journal=self._journal,
             is_ready=self._is_ready,
-            gauges=self._main_actor.gauges,
+            gauges=self._gauges,
+            state=self._main_actor.describe_state,
         )
         servers = [status_server(endpoint=process.readiness)]
         if process.metrics is not None:
             servers.append(status_server(endpoint=process.metrics))
         runner = RelayRunner(
             main_actor=self._main_actor,
-            helpers=helpers,
+            helpers=tuple(helpers),
             servers=tuple(servers),
             stop_message=LeaveRotation(),
             reload=partial(
@@ -78,6 +103,25 @@
         )
         await runner.run()
 
+    def _create_copies(self) -> CopyActor | None:
+        """Return the actor of copies, None if the settings give no endpoint."""
+        if self._settings.peers is None:
+            return None
+        return CopyActor(
+            endpoint=self._settings.peers,
+            seeds=self._settings.seeds,
+            kinds=(CONFIGURATION_KIND, AGENTS_KIND),
+            main_actor=self._main_actor,
+            clock=self._clock,
+            journal=self._journal,
+        )
+
+    def _gauges(self) -> dict[str, Any]:
+        gauges = self._main_actor.gauges()
+        if self._copies is not None:
+            gauges.update(self._copies.gauges())
+        return gauges
+
     async def _is_ready(self) -> bool:
         reply = Reply()
         self._main_actor.tell(CheckReadiness(reply=reply))
--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bluebellfold.standins.object_api import PlatformStandin
 from bluebellfold.standins.relay_peers import FlowResetError
 from bluebellfold.standins.relay_site import (
     ANNOUNCEMENT_INTERVAL_MS,
@@ -21,6 +22,8 @@
 # Conditions are usually met in a tenth of this; a busy machine is slower.
 TIMEOUT_SECONDS = 20
 POLL_SECONDS = 0.05
+# Network of the sites whose balancers exchange copies.
+COPIES_NET = 5
 
 
 async def wait_until(condition):
@@ -37,8 +40,8 @@
 
 
 @asynccontextmanager
-async def run_site(folder, *, announcing=True):
-    site = RelaySite(folder=folder)
+async def run_site(folder, *, announcing=True, net=0):
+    site = RelaySite(folder=folder, net=net)
     async with site.running(balancers=2, agents=2):
         announcing_task = asyncio.create_task(keep_announcing(site))
         if not announcing:
@@ -279,3 +282,88 @@
             assert 'bluebellfold_malformed_packet_total' in metrics_page
 
     asyncio.run(scenario())
+
+
+class SiteWithPartStore(RelaySite):
+    """Let some balancers reach the store through a server that refuses."""
+
+    def __init__(self, *, refused_hosts, **fields):
+        super().__init__(**fields)
+        self.refusing = PlatformStandin()
+        self.refusing.store = self.platform.store
+        self.refusing.inject(refuse=True)
+        self._refused_hosts = refused_hosts
+
+    async def store_endpoint(self, host):
+        part = self.refusing if host in self._refused_hosts else self.platform
+        return part.endpoint
+
+
+@asynccontextmanager
+async def run_site_with_refused_balancer(folder):
+    refused_host = f'127.{COPIES_NET}.1.1'
+    site = SiteWithPartStore(
+        folder=folder, net=COPIES_NET, refused_hosts={refused_host}
+    )
+    await site.refusing.start()
+    async with site.running(balancers=1, agents=2):
+        announcing_task = asyncio.create_task(keep_announcing(site))
+        await wait_until_ready(site)
+        site.balancers.append(await site.start_balancer(refused_host))
+        try:
+            yield site, site.balancers[1]
+        finally:
+            announcing_task.cancel()
+            await site.refusing.stop()
+
+
+# Guards against a balancer that lets its flows wait until the store answers it,
+# although others have read the same state.
+def test_balancer_that_the_store_refuses_serves_from_its_start(tmp_path):
+    async def scenario():
+        async with run_site_with_refused_balancer(tmp_path) as (site, child):
+            async with asyncio.timeout(2):
+                flow = await open_with_retries(site.client(balancer_index=1))
+                assert await flow.send_request(b'x')
+            await wait_until(partial(site.is_ready, child.host))
+            metrics_page = await site.metrics(child.host)
+            assert 'configuration_from_peer 1\n' in metrics_page
+            assert 'agents_from_peer 1\n' in metrics_page
+
+    asyncio.run(scenario())
+
+
+# Guards against state that stays a copy once the store answers, and against a
+# change of it that the copy undoes.
+def test_answer_of_the_store_replaces_the_copy(tmp_path):
+    async def scenario():
+        async with run_site_with_refused_balancer(tmp_path) as (site, child):
+            flow = await open_with_retries(site.client(balancer_index=1))
+            site.store.put('config', 'main', make_configuration(5, SERVICE[1]))
+            site.refusing.inject(refuse=False)
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                await child.wait_for_log('BBF0755', times=2)
+            assert await flow.send_request(b'x')
+            metrics_page = await site.metrics(child.host)
+            assert 'configuration_version 5\n' in metrics_page
+            assert 'configuration_from_peer 0\n' in metrics_page
+            assert 'agents_from_peer 0\n' in metrics_page
+            added = [
+                line for line in child.log.splitlines() if 'BBF0708' in line
+            ]
+            assert len(added) == 1
+
+    asyncio.run(scenario())
+
+
+def test_usual_start_asks_no_balancer_and_was_not_paused(tmp_path):
+    async def scenario():
+        async with run_site(tmp_path, net=COPIES_NET) as site:
+            await asyncio.sleep(1)
+            pages = await asyncio.gather(
+                *(site.metrics(child.host) for child in site.balancers)
+            )
+            assert not any('copies_asked' in page for page in pages)
+            assert not any('BBF0741' in child.log for child in site.balancers)
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/bluebellfold/relay/balancers/copies/codec.py
@@ -0,0 +1,116 @@
+"""Encode and decode the copies that balancers serve to each other.
+
+The body is a JSON object that maps each kind to its revision, its age and its
+objects as stored. A body with any odd part is rejected as a whole; a kind that
+the receiver doesn't know is no odd part, since a newer release may serve more.
+"""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from bluebellfold.core import BluebellfoldError
+from bluebellfold.platform import (
+    StoredObject,
+    is_integer,
+    is_number,
+    is_text,
+    read_json,
+)
+from bluebellfold.relay.balancers.copies.copy_record import KindCopy
+from bluebellfold.relay.balancers.copies.held_copies import HeldCopy
+
+MS_PER_SECOND = 1000
+MAX_AGE_MS = 86_400_000
+MAX_REVISION = 0x7FFFFFFFFFFFFFFF
+# The greatest configuration that the store takes, and 28,000 agents at 180
+# bytes each; a tenth of a balancer's memory.
+MAX_BODY_BYTES = 8_000_000
+
+
+class UnusableCopyError(BluebellfoldError):
+    """Report a body that is not a copy of the state."""
+
+    __slots__ = ()
+
+
+def unusable_copy(problem: str) -> UnusableCopyError:
+    """Return the error for a body that can't be used, with its remedy."""
+    return UnusableCopyError(
+        problem=problem,
+        remedy='compare the releases of both balancers; another seed is asked',
+    )
+
+
+def encode_object(stored: StoredObject) -> bytes:
+    """Encode one object for the copies that contain it."""
+    fields = {
+        'name': stored.name,
+        'revision': stored.revision,
+        'spec': stored.spec,
+    }
+    return json.dumps(fields, separators=(',', ':')).encode()
+
+
+def encode_copies(copies: Iterable[HeldCopy], now: float) -> bytes:
+    """Encode the body of a response from objects that are encoded already."""
+    kinds = (
+        b''.join(
+            (
+                json.dumps(copy.kind).encode(),
+                b':{"revision":%d,"age_ms":%d,"objects":['
+                % (copy.revision, copy.age_seconds(now) * MS_PER_SECOND),
+                b','.join(copy.encoded_objects),
+                b']}',
+            )
+        )
+        for copy in copies
+    )
+    return b'{"kinds":{%s}}' % b','.join(kinds)
+
+
+def decode_copies(body: bytes, kinds: Iterable[str]) -> tuple[KindCopy, ...]:
+    """Return the copies of the given kinds, or raise UnusableCopyError."""
+    fields = read_json(body)
+    copies = fields.get('kinds') if isinstance(fields, dict) else None
+    if not isinstance(copies, dict):
+        raise unusable_copy('the body has no table of kinds')
+    return tuple(
+        _decode_copy(kind, copies[kind]) for kind in kinds if kind in copies
+    )
+
+
+def _decode_copy(kind: str, fields: Any) -> KindCopy:
+    if not isinstance(fields, dict):
+        raise unusable_copy(f'the copy of {kind} is no object')
+    age_ms = fields.get('age_ms')
+    if not is_number(age_ms, least=0, most=MAX_AGE_MS):
+        raise unusable_copy(f'the copy of {kind} has no age')
+    entries = fields.get('objects')
+    if not isinstance(entries, list):
+        raise unusable_copy(f'the copy of {kind} has no list of objects')
+    return KindCopy(
+        kind=kind,
+        revision=_decode_revision(kind, fields),
+        age_seconds=age_ms / MS_PER_SECOND,
+        stored_objects=tuple(_decode_object(kind, entry) for entry in entries),
+    )
+
+
+def _decode_object(kind: str, fields: Any) -> StoredObject:
+    if not isinstance(fields, dict) or 'spec' not in fields:
+        raise unusable_copy(f'an object of {kind} has no spec')
+    if not is_text(fields.get('name')):
+        raise unusable_copy(f'an object of {kind} has no name')
+    return StoredObject(
+        name=fields['name'],
+        revision=_decode_revision(kind, fields),
+        spec=fields['spec'],
+    )
+
+
+def _decode_revision(kind: str, fields: dict[str, Any]) -> int:
+    revision = fields.get('revision')
+    if is_integer(revision, least=0, most=MAX_REVISION):
+        return revision
+    raise unusable_copy(f'a revision of {kind} is missing or out of range')
--- /dev/null
+++ b/bluebellfold/relay/balancers/copies/kinds.py
@@ -0,0 +1,63 @@
+"""Turn the copy of each kind into the message that its watch would send.
+
+A kind that is to be copied besides, such as that of evacuated zones, adds one
+function here; its watch needs only the ``copies`` of `KindWatch`.
+"""
+
+from collections.abc import Callable
+
+from bluebellfold.core import Message, Registry
+from bluebellfold.platform import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    StoredObject,
+    decode_routing,
+)
+from bluebellfold.relay.agents import AgentEntry
+from bluebellfold.relay.balancers.copies.codec import unusable_copy
+from bluebellfold.relay.balancers.copies.copy_record import KindCopy
+from bluebellfold.relay.store import (
+    AGENTS_KIND,
+    UpdateRoutes,
+    decode_agent,
+    list_agents,
+)
+
+# Each function returns None if the copy holds nothing to act on, and raises
+# UnusableCopyError if an object can't be decoded.
+CopyDecoder = Callable[[KindCopy, str], Message | None]
+COPY_DECODERS: Registry[str, CopyDecoder] = Registry(
+    name='decoders of copies by kind'
+)
+
+
+@COPY_DECODERS.add(CONFIGURATION_KIND)
+def decode_configuration(copy: KindCopy, peer: str) -> Message | None:
+    """Return the update of the routes."""
+    for stored in copy.stored_objects:
+        if stored.name != CONFIGURATION_NAME:
+            continue
+        routes = decode_routing(stored.spec)
+        if not routes:
+            raise unusable_copy(f'the configuration is unusable: {routes!r}')
+        return UpdateRoutes(routes=routes, peer=peer)
+    return None
+
+
+@COPY_DECODERS.add(AGENTS_KIND)
+def decode_agents(copy: KindCopy, peer: str) -> Message | None:
+    """Return the update of the list of agents.
+
+    Its revision follows from the entries, as in the watch: a greater one would
+    make other balancers list the kind in vain.
+    """
+    entries = tuple(map(_decode_agent, copy.stored_objects))
+    newest = max((agent.revision for agent in copy.stored_objects), default=0)
+    return list_agents(entries, revision=newest, peer=peer)
+
+
+def _decode_agent(stored: StoredObject) -> AgentEntry:
+    entry = decode_agent(stored.spec)
+    if entry is None:
+        raise unusable_copy(f'the agent {stored.name} is unreadable')
+    return entry
--- /dev/null
+++ b/bluebellfold/relay/balancers/copies/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test this package."""
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import Any
 
 from bluebellfold.core import (
     Actor,
@@ -87,6 +88,18 @@
             'configuration-version': self._relay.version,
             'flows': self._relay.cached_flows,
             'flows-waiting': self._relay.queued_flows,
+            'configuration-from-peer': self._relay.sources.routes.is_peer,
+            'agents-from-peer': self._relay.sources.agents.is_peer,
+        }
+
+    def describe_state(self) -> dict[str, Any]:
+        """Return the versions in force and their sources."""
+        sources = self._relay.sources
+        return {
+            'version': self._relay.version,
+            'routes_source': sources.routes.name,
+            'agents_revision': self._relay.agents_revision,
+            'agents_source': sources.agents.name,
         }
 
     async def open(self) -> None:
@@ -130,7 +143,9 @@
 
     @reactions.add(UpdateRoutes)
     def _update_routes(self, message: UpdateRoutes) -> None:
-        self._relay.update_routes(message.routes, now=self._clock.now())
+        self._relay.update_routes(
+            message.routes, now=self._clock.now(), peer=message.peer
+        )
 
     @reactions.add(SetRoutesFresh)
     def _set_routes_fresh(self, message: SetRoutesFresh) -> None:
@@ -139,7 +154,10 @@
     @reactions.add(UpdateAgents)
     def _update_agents(self, message: UpdateAgents) -> None:
         self._relay.update_agents(
-            message.entries, self._clock.now(), revision=message.revision
+            message.entries,
+            self._clock.now(),
+            revision=message.revision,
+            peer=message.peer,
         )
 
     @reactions.add(CheckReadiness)
@@ -163,7 +181,7 @@
                 'BBF0710',
                 ready=ready,
                 leaving=self._leaving,
-                version=self._relay.version,
+                **self.describe_state(),
             )
         return ready
 
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -26,6 +26,7 @@
 from bluebellfold.relay.callers.agent_follower import AgentFollower
 from bluebellfold.relay.callers.flow_cache import FlowCache
 from bluebellfold.relay.callers.forwarding import FlowForwarder
+from bluebellfold.relay.callers.state_sources import StateSources
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.versions import ActiveRoutes, NewestVersion
 from bluebellfold.relay.collectors import Journal
@@ -53,7 +54,6 @@
     __slots__ = (
         '_admission',
         '_agent_table',
-        '_agents_listed',
         '_agents_revision',
         '_flows',
         '_follower',
@@ -63,6 +63,7 @@
         '_newest_agents_revision',
         '_register_due',
         '_routes',
+        '_sources',
         '_sweep_due',
         '_transport',
     )
@@ -81,7 +82,6 @@
         self._journal = journal
         self._routes = ActiveRoutes()
         self._agent_table = AgentTable()
-        self._agents_listed = False
         self._agents_revision = 0
         self._newest_agents_revision = NewestVersion()
         self._flows = FlowCache()
@@ -113,13 +113,24 @@
         )
         self._register_due = float(0)
         self._sweep_due = float(0)
-        self._last_run_at = float(0)
+        self._last_run_at: float | None = None
+        self._sources = StateSources()
 
     @property
     def version(self) -> int:
         """Return the version of the active configuration."""
         return self._routes.version
 
+    @property
+    def sources(self) -> StateSources:
+        """Return where the configuration and the list of agents come from."""
+        return self._sources
+
+    @property
+    def agents_revision(self) -> int:
+        """Return the revision of the list of agents."""
+        return self._agents_revision
+
     @property
     def cached_flows(self) -> int:
         """Return the number of flows in the cache."""
@@ -148,11 +159,19 @@
         """Return whether the agent list has been outdated for too long."""
         return self._newest_agents_revision.outdates(self._agents_revision, now)
 
-    def update_routes(self, routes: RoutingTable, *, now: float) -> bool:
-        """Activate routes if they are newer, and return whether they are."""
+    def update_routes(
+        self, routes: RoutingTable, *, now: float, peer: str = ''
+    ) -> bool:
+        """Activate routes if they are newer, and return whether they are.
+
+        Those of a balancer (``peer``) count only before the store answers.
+        """
         version_before = self._routes.version
+        if not self._sources.routes.accepts(peer):
+            return False
         if not self._routes.update(routes):
             return False
+        self._sources.routes.record(peer)
         self._follower.renew_at_once(now)
         self._journal.log(
             'BBF0707',
@@ -165,12 +184,24 @@
     def set_routes_fresh(self, *, fresh: bool) -> None:
         """Set whether the watch of the configuration reaches the store."""
         self._routes.set_fresh(fresh=fresh)
+        if fresh:
+            self._sources.routes.record('')
 
     def update_agents(
-        self, entries: Iterable[AgentEntry], now: float, *, revision: int = 0
+        self,
+        entries: Iterable[AgentEntry],
+        now: float,
+        *,
+        revision: int = 0,
+        peer: str = '',
     ) -> None:
-        """Replace the list of agents by the given revision of the list."""
-        self._agents_listed = True
+        """Replace the list of agents by the given revision of the list.
+
+        That of a balancer (``peer``) counts only before the store answers.
+        """
+        if not self._sources.agents.accepts(peer):
+            return
+        self._sources.agents.record(peer)
         self._agents_revision = revision
         change = self._follower.update_agents(entries, now, revision=revision)
         if change.added or change.removed:
@@ -311,16 +342,19 @@
     @property
     def _agents_complete(self) -> bool:
         # An agent that only other balancers know may hold a flow that no known
-        # agent holds. Before the first list, no agent is known at all.
+        # agent holds. A list from another balancer may lack the newest agents,
+        # and before the first list no agent is known at all.
         return (
-            self._agents_listed
+            self._sources.agents.is_store
             and not self._newest_agents_revision.is_newer_than(
                 self._agents_revision
             )
         )
 
     def _detect_pause(self, now: float) -> None:
-        paused = now - self._last_run_at
+        # Before the first run there was no pause.
+        last_run_at = now if self._last_run_at is None else self._last_run_at
+        paused = now - last_run_at
         self._last_run_at = now
         if paused < PAUSE_THRESHOLD_SECONDS:
             return
--- a/bluebellfold/relay/collectors/status_server.py
+++ b/bluebellfold/relay/collectors/status_server.py
@@ -1,7 +1,9 @@
 """Serve the readiness and the metrics of a process over HTTP."""
 
+import json
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
+from typing import Any
 
 from bluebellfold.core import Endpoint
 from bluebellfold.core.http_server import (
@@ -17,9 +19,12 @@
 
 
 class StatusServer:
-    """Serve the readiness check and the metrics of one process."""
+    """Serve the readiness check and the metrics of one process.
 
-    __slots__ = ('_gauges', '_is_ready', '_journal', '_server')
+    The body of the readiness check is what ``state`` returns, as JSON.
+    """
+
+    __slots__ = ('_gauges', '_is_ready', '_journal', '_server', '_state')
 
     def __init__(
         self,
@@ -28,10 +33,12 @@
         journal: Journal,
         is_ready: Callable[[], Awaitable[bool]],
         gauges: Callable[[], Mapping[str, float]],
+        state: Callable[[], Mapping[str, Any]] = dict,
     ) -> None:
         self._journal = journal
         self._is_ready = is_ready
         self._gauges = gauges
+        self._state = state
         self._server = HttpServer(
             endpoint=endpoint, handle_request=self._handle_request
         )
@@ -55,9 +62,12 @@
         call = decode_call(request.method, request.target, b'')
         if not isinstance(call, ReadinessCall):
             return ServerResponse(status=HTTPStatus.NOT_FOUND)
+        status = HTTPStatus.SERVICE_UNAVAILABLE
         if await self._is_ready():
-            return ServerResponse(status=HTTPStatus.OK)
-        return ServerResponse(status=HTTPStatus.SERVICE_UNAVAILABLE)
+            status = HTTPStatus.OK
+        return ServerResponse(
+            status=status, body=json.dumps(self._state()).encode()
+        )
 
     def _serve_metrics(self) -> ServerResponse:
         body = render_metrics(
--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -4,10 +4,15 @@
     AGENTS_KIND,
     AgentRegistrar,
     AgentWatch,
+    decode_agent,
+    list_agents,
 )
 from bluebellfold.relay.store.configuration import ConfigurationWatch
 from bluebellfold.relay.store.messages import (
+    ConfirmObjects,
+    DisconnectObjects,
     Relist,
+    ReportObjects,
     SetBalancers,
     SetRoutesFresh,
     UpdateAgents,
@@ -19,9 +24,14 @@
     'AgentRegistrar',
     'AgentWatch',
     'ConfigurationWatch',
+    'ConfirmObjects',
+    'DisconnectObjects',
     'Relist',
+    'ReportObjects',
     'SetBalancers',
     'SetRoutesFresh',
     'UpdateAgents',
     'UpdateRoutes',
+    'decode_agent',
+    'list_agents',
 )
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -9,6 +9,7 @@
 import ipaddress
 import logging
 import random
+from collections.abc import Iterable
 from typing import Any
 
 from bluebellfold.collectors import log_event
@@ -44,12 +45,15 @@
         name='reactions of the watch of agents', base=KindWatch.reactions
     )
 
-    def __init__(self, *, endpoint: Endpoint, actor: Actor) -> None:
+    def __init__(
+        self, *, endpoint: Endpoint, actor: Actor, copies: Actor | None = None
+    ) -> None:
         super().__init__(
             kind=AGENTS_KIND,
             client=ObjectStoreClient(endpoint=endpoint),
             backoff=_create_backoff(),
             wait_seconds=WAIT_SECONDS,
+            copies=copies,
         )
         self._actor = actor
         self._entries: dict[str, AgentEntry] = {}
@@ -77,7 +81,7 @@
             if change.deleted:
                 self._entries.pop(name, None)
                 continue
-            entry = _decode_entry(change.stored.spec)
+            entry = decode_agent(change.stored.spec)
             if entry is None:
                 self._reject(change.stored)
                 continue
@@ -88,15 +92,12 @@
             self._newest_revision = max(
                 self._newest_revision, change.stored.revision
             )
-        by_address = {entry.address: entry for entry in self._entries.values()}
         self._actor.tell(
-            UpdateAgents(
-                entries=tuple(by_address[key] for key in sorted(by_address)),
-                revision=self._newest_revision,
-            ),
+            list_agents(self._entries.values(), revision=self._newest_revision)
         )
 
     def _reject(self, stored: StoredObject) -> None:
+        self.exclude_from_copies(stored)
         # The list is read anew after each interruption of the watch.
         if self._rejected.get(stored.name) == stored.revision:
             return
@@ -178,7 +179,20 @@
             )
 
 
-def _decode_entry(spec: Any) -> AgentEntry | None:
+def list_agents(
+    entries: Iterable[AgentEntry], *, revision: int, peer: str = ''
+) -> UpdateAgents:
+    """Return the list of agents, one for each address, in order."""
+    by_address = {entry.address: entry for entry in entries}
+    return UpdateAgents(
+        entries=tuple(by_address[key] for key in sorted(by_address)),
+        revision=revision,
+        peer=peer,
+    )
+
+
+def decode_agent(spec: Any) -> AgentEntry | None:
+    """Return the entry of an agent as stored, None if it is unreadable."""
     if not isinstance(spec, dict):
         return None
     host = spec.get('host')
--- a/bluebellfold/relay/store/configuration.py
+++ b/bluebellfold/relay/store/configuration.py
@@ -37,7 +37,9 @@
         base=KindWatch.reactions,
     )
 
-    def __init__(self, *, endpoint: Endpoint, actor: Actor) -> None:
+    def __init__(
+        self, *, endpoint: Endpoint, actor: Actor, copies: Actor | None = None
+    ) -> None:
         super().__init__(
             kind=CONFIGURATION_KIND,
             client=ObjectStoreClient(endpoint=endpoint),
@@ -45,6 +47,7 @@
                 randomness=random.Random(), cap_seconds=RETRY_CAP_SECONDS
             ),
             wait_seconds=WAIT_SECONDS,
+            copies=copies,
         )
         self._actor = actor
 
@@ -55,7 +58,9 @@
     def apply(self, changes: Changes) -> None:
         """Report each changed configuration that can be decoded."""
         for change in changes.changes:
-            if change.stored.name == CONFIGURATION_NAME and not change.deleted:
+            if change.stored.name != CONFIGURATION_NAME:
+                self.exclude_from_copies(change.stored)
+            elif not change.deleted:
                 self._report_routes(change.stored)
 
     def handle_reachability(self, *, reachable: bool) -> None:
@@ -72,5 +77,6 @@
                 revision=stored.revision,
                 reason=routes.name,
             )
+            self.exclude_from_copies(stored)
             return
         self._actor.tell(UpdateRoutes(routes=routes))
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -1,18 +1,24 @@
 """Define the messages that the watches of the store send and receive."""
 
 from bluebellfold.core import Message, RoutingTable, read_only
+from bluebellfold.platform import Change
 from bluebellfold.relay.agents import AgentEntry
 
 
 class UpdateRoutes(Message):
-    """Activate a configuration if it is newer."""
+    """Activate a configuration if it is newer.
 
-    __slots__ = ('_routes',)
+    ``peer`` is the balancer that had it, empty for the store.
+    """
 
+    __slots__ = ('_peer', '_routes')
+
+    peer: str = read_only('_peer')
     routes: RoutingTable = read_only('_routes')
 
-    def __init__(self, *, routes: RoutingTable) -> None:
+    def __init__(self, *, routes: RoutingTable, peer: str = '') -> None:
         self._routes = routes
+        self._peer = peer
 
 
 class SetRoutesFresh(Message):
@@ -27,18 +33,27 @@
 
 
 class UpdateAgents(Message):
-    """Replace the list of agents by the given revision of the list."""
+    """Replace the list of agents by the given revision of the list.
+
+    ``peer`` is the balancer that had it, empty for the store.
+    """
 
-    __slots__ = ('_entries', '_revision')
+    __slots__ = ('_entries', '_peer', '_revision')
 
     entries: tuple[AgentEntry, ...] = read_only('_entries')
+    peer: str = read_only('_peer')
     revision: int = read_only('_revision')
 
     def __init__(
-        self, *, entries: tuple[AgentEntry, ...], revision: int
+        self,
+        *,
+        entries: tuple[AgentEntry, ...],
+        revision: int,
+        peer: str = '',
     ) -> None:
         self._entries = entries
         self._revision = revision
+        self._peer = peer
 
 
 class SetBalancers(Message):
@@ -61,3 +76,70 @@
 
     def __init__(self, *, reason: str) -> None:
         self._reason = reason
+
+
+class ReportObjects(Message):
+    """Report the objects of a kind that a watch has read, as stored.
+
+    If ``is_complete``, they are all objects of the kind, and the ``unreadable``
+    ones stay as they were known before; otherwise they are changes.
+    """
+
+    __slots__ = (
+        '_changes',
+        '_is_complete',
+        '_kind',
+        '_revision',
+        '_unreadable',
+    )
+
+    changes: tuple[Change, ...] = read_only('_changes')
+    is_complete: bool = read_only('_is_complete')
+    kind: str = read_only('_kind')
+    revision: int = read_only('_revision')
+    unreadable: frozenset[str] = read_only('_unreadable')
+
+    def __init__(
+        self,
+        *,
+        kind: str,
+        changes: tuple[Change, ...],
+        revision: int,
+        is_complete: bool,
+        unreadable: frozenset[str],
+    ) -> None:
+        self._kind = kind
+        self._changes = changes
+        self._revision = revision
+        self._is_complete = is_complete
+        self._unreadable = unreadable
+
+
+class ConfirmObjects(Message):
+    """Report that the store has answered the watch of a kind."""
+
+    __slots__ = ('_kind', '_revision')
+
+    kind: str = read_only('_kind')
+    revision: int = read_only('_revision')
+
+    def __init__(self, *, kind: str, revision: int) -> None:
+        self._kind = kind
+        self._revision = revision
+
+
+class DisconnectObjects(Message):
+    """Report that the watch of a kind has no connection to the store.
+
+    ``was_silent`` tells that no end of the connection was noticed before a
+    call timed out.
+    """
+
+    __slots__ = ('_kind', '_was_silent')
+
+    kind: str = read_only('_kind')
+    was_silent: bool = read_only('_was_silent')
+
+    def __init__(self, *, kind: str, was_silent: bool) -> None:
+        self._kind = kind
+        self._was_silent = was_silent
--- /dev/null
+++ b/bluebellfold/relay/store/tests/test_reports_of_watches.py
@@ -0,0 +1,166 @@
+"""Test what the watches report to the actor that copies the state."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from bluebellfold.core import InboxFullError, Stop
+from bluebellfold.relay.store import (
+    AGENTS_KIND,
+    AgentWatch,
+    ConfigurationWatch,
+    ConfirmObjects,
+    DisconnectObjects,
+    ReportObjects,
+    SetRoutesFresh,
+    UpdateAgents,
+    UpdateRoutes,
+)
+from bluebellfold.relay.store.tests.test_agents import RecordingActor
+from bluebellfold.standins.object_api import PlatformStandin
+from bluebellfold.standins.packets import SERVICE
+from bluebellfold.standins.relay_site import make_configuration
+
+AGENT = {'host': '10.0.0.1', 'port': 8172, 'service': 'counter', 'zone': 'a'}
+
+
+class FullActor(RecordingActor):
+    """Refuse every message, as an actor with a full inbox does."""
+
+    def tell(self, message):
+        raise InboxFullError(problem='full', remedy='wait')
+
+
+@asynccontextmanager
+async def watched(watch_type, standin, *, copies=None):
+    """Run a watch, and yield the actors that it reports to."""
+    await standin.start()
+    actor = RecordingActor()
+    copies = copies or RecordingActor()
+    watch = watch_type(endpoint=standin.endpoint, actor=actor, copies=copies)
+    task = asyncio.create_task(watch.run())
+    try:
+        yield actor, copies
+    finally:
+        await stop_all(watch, task, standin)
+
+
+async def stop_all(watch, task, standin):
+    watch.tell(Stop())
+    await task
+    await standin.stop()
+
+
+async def next_of(actor, message_type):
+    """Return the next message of a type."""
+    async with asyncio.timeout(5):
+        message = await actor.received.get()
+        while not isinstance(message, message_type):
+            message = await actor.received.get()
+    return message
+
+
+def specs_of(report):
+    return {change.stored.name: change.stored.spec for change in report.changes}
+
+
+def test_objects_are_reported_as_stored_and_confirmed():
+    async def scenario():
+        standin = PlatformStandin()
+        standin.store.put(AGENTS_KIND, 'one', {**AGENT, 'later': 1})
+        standin.store.put(AGENTS_KIND, 'odd', {'host': 1})
+        async with watched(AgentWatch, standin) as (_, copies):
+            listed = await copies.received.get()
+            assert specs_of(listed) == {'one': {**AGENT, 'later': 1}}
+            assert listed.unreadable == {'odd'}
+            assert listed.is_complete
+            confirmed = await copies.received.get()
+            assert confirmed == ConfirmObjects(kind=AGENTS_KIND, revision=2)
+            standin.store.put(AGENTS_KIND, 'two', AGENT)
+            changed = await next_of(copies, ReportObjects)
+            assert specs_of(changed) == {'two': AGENT}
+            assert not changed.is_complete
+
+    asyncio.run(scenario())
+
+
+# Guards against copies with a configuration that no receiver can use, and with
+# objects of other writers.
+def test_only_a_usable_configuration_is_reported():
+    async def scenario():
+        standin = PlatformStandin()
+        configuration = make_configuration(3, SERVICE[1])
+        standin.store.put('config', 'main', configuration)
+        standin.store.put('config', 'other', {})
+        async with watched(ConfigurationWatch, standin) as (_, copies):
+            listed = await next_of(copies, ReportObjects)
+            assert specs_of(listed) == {'main': configuration}
+            standin.store.put('config', 'main', {'Version': 'unreadable'})
+            changed = await next_of(copies, ReportObjects)
+            assert not changed.changes
+            assert changed.unreadable == {'main'}
+
+    asyncio.run(scenario())
+
+
+def test_refusal_of_the_store_ends_the_confirmation():
+    async def scenario():
+        standin = PlatformStandin()
+        async with watched(AgentWatch, standin) as (_, copies):
+            await next_of(copies, ConfirmObjects)
+            standin.inject(refuse=True)
+            lost = await next_of(copies, DisconnectObjects)
+            assert not lost.was_silent
+            standin.inject(refuse=False)
+            await next_of(copies, ConfirmObjects)
+
+    asyncio.run(scenario())
+
+
+# Guards against a connection that broke without an error and counts as
+# confirmation of the state until the call times out.
+def test_call_without_an_answer_is_reported_as_silent():
+    async def scenario():
+        standin = PlatformStandin()
+        standin.inject(slow_seconds=3)
+        async with watched(AgentWatch, standin) as (_, copies):
+            lost = await next_of(copies, DisconnectObjects)
+            assert lost.was_silent
+
+    asyncio.run(scenario())
+
+
+# Guards against copies that keep the balancer from learning of changes.
+def test_watches_go_on_while_the_copies_take_no_message():
+    async def scenario():
+        standin = PlatformStandin()
+        configuration = make_configuration(3, SERVICE[1])
+        standin.store.put('config', 'main', configuration)
+        async with watched(ConfigurationWatch, standin, copies=FullActor()) as (
+            actor,
+            _,
+        ):
+            await next_of(actor, UpdateRoutes)
+            standin.store.put('config', 'main', {**configuration, 'Version': 4})
+            newer = await next_of(actor, UpdateRoutes)
+            assert newer.routes.version == 4
+            lost = SetRoutesFresh(fresh=False)
+            while not actor.received.empty():
+                assert actor.received.get_nowait() != lost
+
+    asyncio.run(scenario())
+
+
+def test_watch_without_copies_reports_to_its_actor_only():
+    async def scenario():
+        standin = PlatformStandin()
+        standin.store.put(AGENTS_KIND, 'one', AGENT)
+        await standin.start()
+        actor = RecordingActor()
+        watch = AgentWatch(endpoint=standin.endpoint, actor=actor)
+        task = asyncio.create_task(watch.run())
+        listed = await next_of(actor, UpdateAgents)
+        assert [entry.address[0] for entry in listed.entries] == ['10.0.0.1']
+        assert not listed.peer
+        await stop_all(watch, task, standin)
+
+    asyncio.run(scenario())
--- a/bluebellfold/relay/store/watching.py
+++ b/bluebellfold/relay/store/watching.py
@@ -7,15 +7,22 @@
 from random import random
 
 from bluebellfold.collectors import log_event
-from bluebellfold.core import Actor, Registry
+from bluebellfold.core import Actor, Message, Registry
 from bluebellfold.core.backoff import Backoff
 from bluebellfold.platform import (
     HISTORY_GONE,
     Changes,
     ObjectStoreClient,
+    StoredObject,
     StoreError,
 )
-from bluebellfold.relay.store.messages import Relist, SetBalancers
+from bluebellfold.relay.store.messages import (
+    ConfirmObjects,
+    DisconnectObjects,
+    Relist,
+    ReportObjects,
+    SetBalancers,
+)
 from bluebellfold.relay.store.renewal import renewal_seconds
 
 # Longest pause between attempts until the first read succeeds.
@@ -29,7 +36,8 @@
 
     After a failure, and when the store no longer has the history since the
     last revision, the kind is listed again. The last known objects stay in
-    force while the store is unreachable.
+    force while the store is unreachable. The actor ``copies``, if there is one,
+    is told the objects as stored and whether the store confirms them.
     """
 
     reactions = Registry(name='reactions of the watch of a kind')
@@ -42,6 +50,7 @@
         backoff: Backoff,
         wait_seconds: float,
         draw: Callable[[], float] = random,
+        copies: Actor | None = None,
     ) -> None:
         super().__init__(name=f'watch-{kind}')
         self._kind = kind
@@ -49,6 +58,8 @@
         self._backoff = backoff
         self._wait_seconds = wait_seconds
         self._draw = draw
+        self._copies = copies
+        self._unreadable: set[str] = set()
         self._balancers = 0
         self._failures = 0
         self._was_listed = False
@@ -75,6 +86,10 @@
     def handle_reachability(self, *, reachable: bool) -> None:
         """Handle the success or failure of the last call to the store."""
 
+    def exclude_from_copies(self, stored: StoredObject) -> None:
+        """Leave an object that can't be used out of the copies."""
+        self._unreadable.add(stored.name)
+
     @reactions.add(SetBalancers)
     def _set_balancers(self, message: SetBalancers) -> None:
         self._balancers = message.count
@@ -98,6 +113,7 @@
         # What was missed is read from a new list.
         self._revision = None
         self.handle_reachability(reachable=False)
+        self._report_disconnection(was_silent=False)
 
     async def _watch_kind(self) -> None:
         while True:
@@ -112,7 +128,9 @@
         if self._revision is None:
             listed = await self._client.list_objects(self._kind)
             self._revision = listed.revision
+            self._unreadable.clear()
             self.replace_all(listed)
+            self._report_objects(listed, is_complete=True)
             self._was_listed = True
             return
         changes = await self._client.watch(
@@ -128,7 +146,9 @@
             return
         self._revision = changes.revision
         if changes.changes:
+            self._unreadable.clear()
             self.apply(changes)
+            self._report_objects(changes, is_complete=False)
 
     async def _handle_failure(self, error: StoreError) -> None:
         if self._failures == 0:
@@ -144,6 +164,9 @@
         # this.
         self._revision = None
         self.handle_reachability(reachable=False)
+        self._report_disconnection(
+            was_silent=isinstance(error.__cause__, TimeoutError)
+        )
         delay = self._backoff.delay_seconds(self._failures)
         if not self._was_listed:
             # Nothing can be served until the kind is known.
@@ -162,3 +185,33 @@
             )
         self._failures = 0
         self.handle_reachability(reachable=True)
+        if self._revision is not None:
+            self._tell_copies(
+                ConfirmObjects(kind=self._kind, revision=self._revision)
+            )
+
+    def _report_objects(self, changes: Changes, *, is_complete: bool) -> None:
+        usable = tuple(
+            change
+            for change in changes.changes
+            if change.deleted or change.stored.name not in self._unreadable
+        )
+        self._tell_copies(
+            ReportObjects(
+                kind=self._kind,
+                changes=usable,
+                revision=changes.revision,
+                is_complete=is_complete,
+                unreadable=frozenset(self._unreadable),
+            )
+        )
+
+    def _report_disconnection(self, *, was_silent: bool) -> None:
+        self._tell_copies(
+            DisconnectObjects(kind=self._kind, was_silent=was_silent)
+        )
+
+    def _tell_copies(self, message: Message) -> None:
+        # The watch has to go on if the copies don't keep up.
+        if self._copies is not None:
+            self.guard(self._copies.tell, message)
--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -30,6 +30,9 @@
 CONTROL_PORT = 28_166
 UPSTREAM_PORT = 28_080
 METRICS_PORT = 28_464
+COPIES_PORT = 28_721
+# A site names the hosts of its first balancers as seeds, even of missing ones.
+SEED_COUNT = 3
 ANNOUNCEMENT_INTERVAL_MS = 300
 REQUEST_TIMEOUT_SECONDS = 2.0
 IDLE_MS = 15_000
@@ -43,6 +46,8 @@
 [balancer]
 callers = {host}:{datagram}
 agents = {host}:{peer}
+peers = {host}:{copies}
+seeds = '{seeds}'
 readiness = {host}:{readiness}
 metrics = {host}:{metrics}
 [store]
@@ -282,6 +287,8 @@
                 host=host,
                 datagram=DATAGRAM_PORT,
                 peer=PEER_PORT,
+                copies=COPIES_PORT,
+                seeds=json.dumps(self._seeds()),
                 readiness=READINESS_PORT,
                 outbound=OUTBOUND_PORT,
                 control=CONTROL_PORT,
@@ -314,6 +321,12 @@
         finally:
             client.close()
 
+    def _seeds(self) -> list[str]:
+        return [
+            f'{self._balancer_host(number)}:{COPIES_PORT}'
+            for number in range(SEED_COUNT)
+        ]
+
     def _agent_host(self, number: int) -> str:
         return f'127.{self._net}.2.{number}'
 
