--- a/bluebellfold/core/http_client.py
+++ b/bluebellfold/core/http_client.py
@@ -137,7 +137,7 @@
 
     def _unavailable_error(self, reason: str) -> PlatformUnavailableError:
         return PlatformUnavailableError(
-            problem=f'platform at {self._endpoint} is unavailable: {reason}',
+            problem=f'the server at {self._endpoint} is unavailable: {reason}',
             remedy='wait and retry; check the address and the object API',
         )
 
--- a/bluebellfold/relay/balancers/copies/actor.py
+++ b/bluebellfold/relay/balancers/copies/actor.py
@@ -95,13 +95,12 @@
         )
 
     def gauges(self) -> dict[str, float]:
-        """Return the source and the age of each copy by metric name."""
+        """Return the age of each copy by metric name."""
         now = self._clock.now()
         gauges: dict[str, float] = {}
         for kind in self._kinds:
             copy = self._copies.find(kind)
             if copy is not None:
-                gauges[f'copy-from-peer-{kind}'] = bool(copy.peer)
                 gauges[f'copy-age-seconds-{kind}'] = copy.age_seconds(now)
         return gauges
 
@@ -190,7 +189,7 @@
             self._take_copy(copy, update, message)
 
     def _take_copy(
-        self, copy: KindCopy, update: Message | None, message: TakeCopies
+        self, copy: KindCopy, update: Message, message: TakeCopies
     ) -> None:
         now = self._clock.now()
         # The age grows by the whole time of the exchange.
@@ -215,8 +214,7 @@
                 peer=message.peer,
             )
         )
-        if update is not None:
-            self._main_actor.tell(update)
+        self._main_actor.tell(update)
         self._journal.count('copies-taken-from-peer')
         self._journal.log(
             'BBF0753',
--- a/bluebellfold/relay/balancers/copies/kinds.py
+++ b/bluebellfold/relay/balancers/copies/kinds.py
@@ -23,29 +23,28 @@
     list_agents,
 )
 
-# Each function returns None if the copy holds nothing to act on, and raises
-# UnusableCopyError if an object can't be decoded.
-CopyDecoder = Callable[[KindCopy, str], Message | None]
+# Each function raises UnusableCopyError if the copy can't be used.
+CopyDecoder = Callable[[KindCopy, str], Message]
 COPY_DECODERS: Registry[str, CopyDecoder] = Registry(
     name='decoders of copies by kind'
 )
 
 
 @COPY_DECODERS.add(CONFIGURATION_KIND)
-def decode_configuration(copy: KindCopy, peer: str) -> Message | None:
+def decode_configuration(copy: KindCopy, peer: str) -> Message:
     """Return the update of the routes."""
-    for stored in copy.stored_objects:
-        if stored.name != CONFIGURATION_NAME:
-            continue
-        routes = decode_routing(stored.spec)
-        if not routes:
-            raise unusable_copy(f'the configuration is unusable: {routes!r}')
-        return UpdateRoutes(routes=routes, peer=peer)
-    return None
+    specs = {stored.name: stored.spec for stored in copy.stored_objects}
+    # A seed that has only seen an unreadable configuration has none to give.
+    if CONFIGURATION_NAME not in specs:
+        raise unusable_copy('there is no configuration in the copy')
+    routes = decode_routing(specs[CONFIGURATION_NAME])
+    if not routes:
+        raise unusable_copy(f'the configuration is unusable: {routes!r}')
+    return UpdateRoutes(routes=routes, peer=peer)
 
 
 @COPY_DECODERS.add(AGENTS_KIND)
-def decode_agents(copy: KindCopy, peer: str) -> Message | None:
+def decode_agents(copy: KindCopy, peer: str) -> Message:
     """Return the update of the list of agents.
 
     Its revision follows from the entries, as in the watch: a greater one would
