--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -4,12 +4,17 @@
     AGENTS_KIND,
     AgentRegistrar,
     AgentWatch,
+    decode_agent,
+    list_agents,
 )
 from bluebellfold.relay.store.configuration import ConfigurationWatch
 from bluebellfold.relay.store.evacuations import EvacuationWatch
 from bluebellfold.relay.store.messages import (
     RegisterAgent,
+    ConfirmObjects,
+    DisconnectObjects,
     Relist,
+    ReportObjects,
     SetBalancers,
     SetRoutesFresh,
     UpdateAgents,
@@ -24,10 +29,15 @@
     'ConfigurationWatch',
     'EvacuationWatch',
     'RegisterAgent',
+    'ConfirmObjects',
+    'DisconnectObjects',
     'Relist',
+    'ReportObjects',
     'SetBalancers',
     'SetRoutesFresh',
     'UpdateAgents',
     'UpdateEvacuations',
     'UpdateRoutes',
+    'decode_agent',
+    'list_agents',
 )
