Limit the new flows of cold upstreams, and keep routes in their regions

An upstream that has just started can handle only a few new flows a second, but every balancer sees it idle. Its agent now declines new flows over the rate that balancers tell it, and reports how many more it takes. Routes with home regions use only agents whose zone is in one of them; a balancer also follows and samples agents there, since the subset of the whole service may have none. Nothing changes without a rate and without home regions.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -384,6 +384,18 @@
     meaning='a reset for a flow that the upstream does not hold is suppressed',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0749',
+    level=logging.INFO,
+    meaning='the rate of new flows of a cold upstream is known or has changed',
+    remedy=NO_REMEDY,
+)
+register(
+    number='BBF0750',
+    level=logging.INFO,
+    meaning="the limit on a cold upstream's new flows begins or ends",
+    remedy=NO_REMEDY,
+)
 register(
     number='BBF0743',
     level=logging.INFO,
--- a/bluebellfold/core/__init__.py
+++ b/bluebellfold/core/__init__.py
@@ -28,8 +28,10 @@
 from bluebellfold.core.record import Record, read_only
 from bluebellfold.core.registry import Registry
 from bluebellfold.core.routing import (
+    ANY_REGION,
     NO_ROUTES,
     NO_VERSION,
+    Regions,
     Route,
     RoutedService,
     RoutingTable,
@@ -48,6 +50,8 @@
 from bluebellfold.core.tally import Count, Tally
 
 __all__ = (
+    'ANY_REGION',
+    'Regions',
     'Actor',
     'Announcement',
     'BluebellfoldError',
--- a/bluebellfold/core/routing.py
+++ b/bluebellfold/core/routing.py
@@ -1,9 +1,13 @@
 """Map addresses to the services that accept their new flows."""
 
+from collections.abc import Iterable
+
 from bluebellfold.core.record import Record, read_only
 
 NO_VERSION = -1
-ANY_REGION: frozenset[str] = frozenset()
+Regions = frozenset[str]
+# No restriction.
+ANY_REGION: Regions = frozenset()
 
 
 class Share(Record):
@@ -57,7 +61,7 @@
     )
 
     address: bytes = read_only('_address')
-    allowed_regions: frozenset[str] = read_only('_allowed_regions')
+    allowed_regions: Regions = read_only('_allowed_regions')
     name: str = read_only('_name')
     priority: int = read_only('_priority')
     repeatable: bool = read_only('_repeatable')
@@ -75,7 +79,7 @@
         priority: int,
         timeout_seconds: float,
         target_seconds: float = 0,
-        allowed_regions: frozenset[str] = ANY_REGION,
+        allowed_regions: Regions = ANY_REGION,
     ) -> None:
         self._name = name
         self._address = address
@@ -107,7 +111,13 @@
 class RoutingTable:
     """Hold the routes of one version of the configuration."""
 
-    __slots__ = ('_by_address', '_idle_seconds', '_services', '_version')
+    __slots__ = (
+        '_by_address',
+        '_home_regions',
+        '_idle_seconds',
+        '_services',
+        '_version',
+    )
 
     def __init__(
         self,
@@ -119,6 +129,7 @@
     ) -> None:
         self._version = version
         self._by_address = {route.address: route for route in routes}
+        self._home_regions = _collect_home_regions(routes)
         self._services = {service.name: service for service in services}
         self._idle_seconds = idle_seconds
 
@@ -145,5 +156,26 @@
         """Return what the configuration says of a service, or None."""
         return self._services.get(name)
 
+    def find_warmup_rate(self, name: str) -> float:
+        """Return how many flows a second a cold upstream takes, 0: no limit."""
+        service = self.find_service(name)
+        return 0 if service is None else service.warmup_flows_per_second
+
+    def list_home_regions(self, service: str) -> Iterable[Regions]:
+        """Return each set of regions that a route to the service allows."""
+        return self._home_regions.get(service, ())
+
+
+def _collect_home_regions(
+    routes: Iterable[Route],
+) -> dict[str, tuple[Regions, ...]]:
+    home_regions: dict[str, tuple[Regions, ...]] = {}
+    for route in routes:
+        for share in route.shares:
+            known = home_regions.get(share.service, ())
+            if route.allowed_regions and route.allowed_regions not in known:
+                home_regions[share.service] = (*known, route.allowed_regions)
+    return home_regions
+
 
 NO_ROUTES = RoutingTable(version=NO_VERSION, routes=(), idle_seconds=0)
--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -24,6 +24,7 @@
     StopWhenIdle,
     UpstreamActor,
     UpstreamHealth,
+    WarmupLimit,
 )
 
 ROLE = 'agent'
@@ -61,6 +62,11 @@
                 announcement_seconds=settings.announcement_seconds,
                 now=clock.now(),
             ),
+            warmup=WarmupLimit(
+                slack=settings.process.bounds.warmup_slack,
+                overshoot=settings.process.bounds.warmup_overshoot,
+                now=clock.now(),
+            ),
             clock=clock,
             journal=self._journal,
         )
--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -41,6 +41,7 @@
             client_endpoint=settings.clients,
             agent_endpoint=settings.agents,
             zone=settings.process.zone,
+            regions=settings.process.regions,
             clock=clock,
             journal=self._journal,
         )
--- a/bluebellfold/relay/agents/selection.py
+++ b/bluebellfold/relay/agents/selection.py
@@ -10,6 +10,7 @@
 
 from bluebellfold.core import Record, Registry, Sentinel, read_only
 from bluebellfold.relay.agents.agent_entry import Address
+from bluebellfold.relay.agents.agent_load import NO_FLOW_LIMIT
 from bluebellfold.relay.agents.agent_table import AgentView
 
 DEFAULT_POLICY = 'least-work'
@@ -126,12 +127,25 @@
     milliseconds it varies by chance, and a limit on it would exclude healthy
     upstreams.
     """
+    if is_warmup_exhausted(view):
+        return True
     load = view.load
     return view.in_flight >= queue_capacity(
         MAX_IN_FLIGHT_PER_SLOT, slots=load.slots, warming=load.warming
     )
 
 
+def is_warmup_exhausted(view: AgentView) -> bool:
+    """Tell whether a cold upstream takes no more flows until its next report.
+
+    The balancer's own offers since the last report count as accepted.
+    """
+    warmup = view.load.warmup
+    if warmup is None or warmup.flows_left >= NO_FLOW_LIMIT:
+        return False
+    return view.in_flight - view.load.in_flight >= warmup.flows_left
+
+
 def slowdown(view: AgentView, typical_work_seconds: float) -> float:
     """Return the work of a request relative to typical work, at least 1."""
     load = view.load
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 
 from bluebellfold.core import (
     Actor,
@@ -23,6 +24,7 @@
     encode_message,
     split_datagram,
 )
+from bluebellfold.relay.callers.home_regions import NO_REGIONS
 from bluebellfold.relay.callers.messages import CheckReadiness, LeaveRotation
 from bluebellfold.relay.callers.relay import ClientRelay
 from bluebellfold.relay.collectors import Journal
@@ -58,6 +60,7 @@
         zone: str,
         clock: Clock,
         journal: Journal,
+        regions: Mapping[str, str] = NO_REGIONS,
     ) -> None:
         super().__init__(name='callers')
         self._client_endpoint = client_endpoint
@@ -79,6 +82,7 @@
             transport=self,
             journal=journal,
             draw=random.random,
+            regions=regions,
         )
 
     def gauges(self) -> dict[str, float]:
--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -4,11 +4,18 @@
 from collections.abc import Callable, Iterable
 from types import MappingProxyType
 
-from bluebellfold.core import Packet, Route, format_flow, service_address
+from bluebellfold.core import (
+    Packet,
+    Regions,
+    Route,
+    format_flow,
+    service_address,
+)
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
     DECLINED_FULL,
     DECLINED_REJECTED,
+    DECLINED_WARMING,
     NO_AGENT,
     Address,
     AgentTable,
@@ -24,6 +31,7 @@
     FlowQueue,
     QueuedFlow,
 )
+from bluebellfold.relay.callers.home_regions import HomeRegions
 from bluebellfold.relay.callers.pending_offers import PendingOffers
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.versions import ActiveRoutes
@@ -35,6 +43,11 @@
 DECLINE_BACKOFF_SECONDS = MappingProxyType(
     {DECLINED_FULL: 0.005, DECLINED_REJECTED: 0.03},
 )
+# While an upstream is cold, its load reports follow each other in at most this
+# time and tell whether it takes flows again.
+MAX_WARMING_BACKOFF_SECONDS = 0.2
+# Reasons of declines after which the agent may soon have capacity.
+LACKS_CAPACITY = frozenset((DECLINED_FULL, DECLINED_REJECTED, DECLINED_WARMING))
 # Until a flow has been declined this often, its offers limit the agent's
 # in-flight requests: many balancers act on the same load report and would all
 # choose the same agent.
@@ -59,6 +72,7 @@
         '_draw',
         '_flows',
         '_follower',
+        '_home_regions',
         '_journal',
         '_pending_offers',
         '_policy',
@@ -74,6 +88,7 @@
         zone: str,
         agent_table: AgentTable,
         follower: AgentFollower,
+        home_regions: HomeRegions,
         routes: ActiveRoutes,
         flows: FlowCache,
         transport: Transport,
@@ -85,6 +100,7 @@
         self._policy = policy
         self._agent_table = agent_table
         self._follower = follower
+        self._home_regions = home_regions
         self._routes = routes
         self._flows = flows
         self._transport = transport
@@ -113,6 +129,7 @@
         if agent is not None:
             view = self._agent_table.find(agent)
             reachable = view is not None and view.is_live(now)
+            reachable = reachable and self._is_allowed(view, packet)
             if reachable and packet.attempt < LAST_ATTEMPT:
                 self._send_offer(packet, assignment, view, now)
                 return
@@ -143,14 +160,14 @@
         if assignment.is_established:
             assignment.unassign(address)
             return
-        if message.reason in {DECLINED_FULL, DECLINED_REJECTED}:
+        if message.reason in LACKS_CAPACITY:
             # The agent may have capacity a moment later.
             assignment.unassign(address)
         else:
             assignment.exclude(address)
         view = self._agent_table.find(address)
         if view is not None:
-            backoff = DECLINE_BACKOFF_SECONDS.get(message.reason, 0)
+            backoff = self._backoff_seconds(message.reason, view)
             view.back_off_until(now + backoff)
         self._journal.count('flows-declined')
         self._journal.log(
@@ -190,14 +207,20 @@
     def _assign_in_order(
         self, queued_flows: Iterable[QueuedFlow], now: float
     ) -> None:
+        full_regions: set[Regions] = set()
         for queued in queued_flows:
+            regions = queued.allowed_regions
+            if regions in full_regions:
+                continue
             flow = queued.packet.flow
             assignment = self._flows.find_or_add(flow, now)
             self._assign(queued.packet, assignment, now)
             if flow in self._queue and not assignment.excluded_agents:
-                # The flow excludes no agent, so none has capacity, and the
-                # later flows can't be assigned either.
-                return
+                # The flow excludes no agent, so none in its regions has
+                # capacity, and the later flows can't be assigned there either.
+                if not regions:
+                    return
+                full_regions.add(regions)
 
     def _reassign_unanswered(
         self, packet: Packet, address: Address, now: float
@@ -227,8 +250,15 @@
             self._refuse_unrouted(packet)
             return
         service = route.select_service(_hash_fraction(packet.flow))
+        candidates = self._home_regions.select(
+            self._agent_table.of_service(service), route.allowed_regions
+        )
+        if not candidates and self._is_unservable(route, service):
+            self._journal.count('flows-refused-by-region')
+            self._refuse(packet, 'no-upstream-in-region')
+            return
         selected = select_agent(
-            self._agent_table.of_service(service),
+            candidates,
             zone=self._zone,
             now=now,
             draw=self._draw,
@@ -237,7 +267,9 @@
         )
         if not selected or selected.in_flight >= selected.load.slots:
             # Agents outside of the subset may be idle.
-            self._follower.sample(service, now)
+            self._follower.sample(
+                service, now, allowed_regions=route.allowed_regions
+            )
         if not selected:
             if selected is NO_AGENT:
                 # When no agent is left, the excluded ones are allowed again.
@@ -248,6 +280,40 @@
         self._queue.remove(packet.flow)
         self._send_offer(packet, assignment, selected, now)
 
+    def _is_allowed(self, view: AgentView, packet: Packet) -> bool:
+        """Tell whether the route of a flow may use an agent."""
+        route = self._routes.table.find(service_address(packet.flow))
+        if route is None:
+            return True
+        return self._home_regions.allows(view, route.allowed_regions)
+
+    def _is_unservable(self, route: Route, service: str) -> bool:
+        """Tell whether no listed agent is in an allowed region.
+
+        Before the first list of agents nothing is known of them.
+        """
+        if not route.allowed_regions or not len(self._agent_table):
+            return False
+        # An entry without a service may be of any, until the agent reports.
+        unnamed = self._agent_table.listed_for('')
+        listed = (
+            *self._agent_table.listed_for(service),
+            *(
+                view
+                for view in unnamed
+                if view.load is None or view.load.service == service
+            ),
+        )
+        return not self._home_regions.allows_any(listed, route.allowed_regions)
+
+    def _backoff_seconds(self, reason: int, view: AgentView) -> float:
+        if reason != DECLINED_WARMING or view.load is None:
+            return DECLINE_BACKOFF_SECONDS.get(reason, 0)
+        rate = self._routes.table.find_warmup_rate(view.load.service)
+        # After this time the upstream takes one flow more.
+        interval = 1 / rate if rate else MAX_WARMING_BACKOFF_SECONDS
+        return min(interval, MAX_WARMING_BACKOFF_SECONDS)
+
     def _send_offer(
         self,
         packet: Packet,
--- a/bluebellfold/relay/callers/agent_follower.py
+++ b/bluebellfold/relay/callers/agent_follower.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Iterable
 
+from bluebellfold.core import ANY_REGION, NO_VERSION, Regions
 from bluebellfold.relay.agents import (
     SUBSET_SIZE,
     Address,
@@ -20,6 +21,7 @@
     Versions,
     select_subset,
 )
+from bluebellfold.relay.callers.home_regions import HomeRegions
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.versions import ActiveRoutes
 
@@ -37,6 +39,9 @@
 # How often the owner of a flow in use proves that it is alive.
 OWNER_PROBE_INTERVAL_SECONDS = 1.0
 
+# A service, and the regions that the agents are in.
+_SampleKey = tuple[str, Regions]
+
 
 class AgentFollower:
     """Subscribe to the agents of the subsets, and probe other agents."""
@@ -46,6 +51,7 @@
         '_agents_revision',
         '_draw',
         '_followers',
+        '_home_regions',
         '_identity',
         '_routes',
         '_sampled_at',
@@ -63,8 +69,10 @@
         routes: ActiveRoutes,
         transport: Transport,
         draw: Callable[[], float],
+        home_regions: HomeRegions,
     ) -> None:
         self._identity = identity
+        self._home_regions = home_regions
         self._zone = zone
         self._agent_table = agent_table
         self._routes = routes
@@ -73,7 +81,7 @@
         self._agents_revision = 0
         self._subscribe_due = float(0)
         self._followers: dict[Address, int] = {}
-        self._sampled_at: dict[str, float] = {}
+        self._sampled_at: dict[_SampleKey, float] = {}
 
     def update_agents(
         self, entries: Iterable[AgentEntry], now: float, *, revision: int
@@ -119,14 +127,22 @@
         for view in self._agent_table.awaited:
             self._probe_awaited(view, now)
 
-    def sample(self, service: str, now: float) -> None:
+    def sample(
+        self,
+        service: str,
+        now: float,
+        *,
+        allowed_regions: Regions = ANY_REGION,
+    ) -> None:
         """Ask a few agents outside of a service's subset for their load."""
-        sampled_at = self._sampled_at.get(service)
+        sampled_at = self._sampled_at.get((service, allowed_regions))
         if sampled_at is not None:
             if now - sampled_at < SAMPLE_INTERVAL_SECONDS:
                 return
-        self._sampled_at[service] = now
-        listed = self._agent_table.listed_for(service)
+        self._sampled_at[service, allowed_regions] = now
+        listed = self._home_regions.select(
+            self._agent_table.listed_for(service), allowed_regions
+        )
         others = [view for view in listed if not view.is_followed]
         for _ in range(min(SAMPLE_SIZE, len(others))):
             view = others.pop(int(self._draw() * len(others)))
@@ -163,6 +179,10 @@
                 followed.extend(view.address for view in listed)
                 continue
             followed.extend(self._select_subset(listed, now))
+            # The subset of the whole service may have no agent in a region.
+            for allowed in self._routes.table.list_home_regions(service):
+                at_home = self._home_regions.select(listed, allowed)
+                followed.extend(self._select_subset(at_home, now))
         self._agent_table.follow(dict.fromkeys(followed), now)
 
     def _select_subset(
@@ -189,15 +209,22 @@
 
     def _ask(self, view: AgentView, now: float) -> None:
         view.mark_probed(now)
+        service = view.load.service if view.load else view.entry.service
+        # Of an agent whose service isn't known, no rate is known either: the
+        # agent would take a rate of 0 with a version for no limit.
+        version = self._routes.version if service else NO_VERSION
         self._transport.send_to_agent(
             view.address,
             Subscribe(
                 idle_seconds=self._routes.table.idle_seconds,
                 offers_sent=view.offers_sent,
                 versions=Versions(
-                    configuration=self._routes.version,
+                    configuration=version,
                     agents=self._agents_revision,
                 ),
                 once=not view.is_followed,
+                warmup_flows_per_second=self._routes.table.find_warmup_rate(
+                    service
+                ),
             ),
         )
--- a/bluebellfold/relay/callers/flow_queue.py
+++ b/bluebellfold/relay/callers/flow_queue.py
@@ -15,7 +15,14 @@
 from collections.abc import Iterable
 from operator import attrgetter
 
-from bluebellfold.core import Packet, Record, Route, read_only
+from bluebellfold.core import (
+    ANY_REGION,
+    Packet,
+    Record,
+    Regions,
+    Route,
+    read_only,
+)
 
 # A client gives up 1.4 s after its first opening packet. If the flow were
 # assigned in the last 0.1 s, the reply would not reach the client in time.
@@ -49,6 +56,13 @@
         self._route = route
         self._opened_at = opened_at
 
+    @property
+    def allowed_regions(self) -> Regions:
+        """Return the regions of upstreams that may accept the flow."""
+        return (
+            ANY_REGION if self._route is None else self._route.allowed_regions
+        )
+
     @property
     def sort_key(self) -> tuple[int, float]:
         """Return the key that orders by priority, then the newest first."""
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -3,7 +3,7 @@
 The transport carries the decisions out.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatchmethod
 
 from bluebellfold.core import Message, Packet, RoutingTable
@@ -26,6 +26,7 @@
 from bluebellfold.relay.callers.agent_follower import AgentFollower
 from bluebellfold.relay.callers.flow_cache import FlowCache
 from bluebellfold.relay.callers.forwarding import FlowForwarder
+from bluebellfold.relay.callers.home_regions import NO_REGIONS, HomeRegions
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.versions import ActiveRoutes, NewestVersion
 from bluebellfold.relay.collectors import Journal
@@ -47,7 +48,8 @@
     """Assign new flows to agents, and forward packets of established ones.
 
     ``identity`` differs between balancers. ``draw`` returns a random number in
-    [0, 1). Methods take ``now`` in seconds of a monotonic clock.
+    [0, 1). ``regions`` maps zones to regions. Methods take ``now`` in seconds
+    of a monotonic clock.
     """
 
     __slots__ = (
@@ -76,7 +78,9 @@
         journal: Journal,
         draw: Callable[[], float],
         policy: str = DEFAULT_POLICY,
+        regions: Mapping[str, str] = NO_REGIONS,
     ) -> None:
+        home_regions = HomeRegions(regions=regions)
         self._transport = transport
         self._journal = journal
         self._routes = ActiveRoutes()
@@ -92,6 +96,7 @@
             routes=self._routes,
             transport=transport,
             draw=draw,
+            home_regions=home_regions,
         )
         self._forwarder = FlowForwarder(
             agent_table=self._agent_table,
@@ -104,6 +109,7 @@
             zone=zone,
             agent_table=self._agent_table,
             follower=self._follower,
+            home_regions=home_regions,
             routes=self._routes,
             flows=self._flows,
             transport=transport,
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -8,6 +8,7 @@
     Announcement,
     ManualClock,
     Route,
+    RoutedService,
     RoutingTable,
     Share,
     pack_address,
@@ -24,11 +25,13 @@
     decode_message,
     encode_message,
 )
+from bluebellfold.relay.callers.home_regions import NO_REGIONS
 from bluebellfold.relay.callers.relay import ClientRelay
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.relay import UpstreamRelay
+from bluebellfold.relay.upstreams.warmup import WarmupLimit
 from bluebellfold.standins.packets import SERVICE
 
 COUNTER = 'counter'
@@ -38,7 +41,7 @@
 TICK_SECONDS = 0.05
 
 
-def route_to(service=COUNTER, *, address=SERVICE, priority=1):
+def route_to(service=COUNTER, *, address=SERVICE, priority=1, **changes):
     return Route(
         name=f'to-{service}',
         address=pack_address(*address),
@@ -46,15 +49,23 @@
         repeatable=True,
         priority=priority,
         timeout_seconds=3,
+        **changes,
     )
 
 
-def table_of(*routes, version=1, idle_seconds=15):
+def table_of(*routes, version=1, idle_seconds=15, services=()):
     return RoutingTable(
-        version=version, routes=routes, idle_seconds=idle_seconds
+        version=version,
+        routes=routes,
+        idle_seconds=idle_seconds,
+        services=services,
     )
 
 
+def service_of(flows_per_second, *, name=COUNTER):
+    return RoutedService(name=name, warmup_flows_per_second=flows_per_second)
+
+
 def announcement_of(
     *, born=UPSTREAM_START_MS, sequence=1, name='i-1', **changes
 ):
@@ -185,12 +196,23 @@
 class Balancer:
     """Hold the decisions of a balancer, a recording transport and a clock."""
 
-    def __init__(self, *, agents=(), routes=None, fresh=True):
-        self.clock = ManualClock(start=100)
+    def __init__(
+        self,
+        *,
+        agents=(),
+        routes=None,
+        fresh=True,
+        clock=None,
+        identity='10.1.0.1:7720',
+        zone=ZONE,
+        regions=NO_REGIONS,
+    ):
+        self.clock = clock or ManualClock(start=100)
         self.transport = ClientTransport()
         self.relay = ClientRelay(
-            identity='10.1.0.1:7720',
-            zone=ZONE,
+            identity=identity,
+            zone=zone,
+            regions=regions,
             transport=self.transport,
             journal=journal_of(self.clock),
             draw=random.Random(7).random,
@@ -234,12 +256,21 @@
 class Agent:
     """Hold the decisions of an agent, a recording transport and a clock."""
 
-    def __init__(self, *, announced=True, clock=None, agent_start=None):
+    def __init__(
+        self,
+        *,
+        announced=True,
+        clock=None,
+        agent_start=None,
+        zone=ZONE,
+        slack=None,
+        overshoot=None,
+    ):
         self.clock = clock or ManualClock(start=100)
         self.transport = UpstreamTransport()
         self.relay = UpstreamRelay(
-            zone=ZONE,
-            incarnation=1,
+            zone=zone,
+            incarnation=round(self.now * 1000),
             agent_start=agent_start
             or AgentStart(
                 # By default the upstream started before its agent.
@@ -252,6 +283,7 @@
                 announcement_seconds=ANNOUNCEMENT_SECONDS,
                 now=self.now,
             ),
+            warmup=WarmupLimit(slack=slack, overshoot=overshoot, now=self.now),
             transport=self.transport,
             journal=journal_of(self.clock),
             now=self.now,
--- a/bluebellfold/relay/upstreams/__init__.py
+++ b/bluebellfold/relay/upstreams/__init__.py
@@ -6,6 +6,7 @@
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.messages import StopWhenIdle
 from bluebellfold.relay.upstreams.relay import UpstreamRelay
+from bluebellfold.relay.upstreams.warmup import WarmupLimit
 
 __all__ = (
     'AgentStart',
@@ -14,4 +15,5 @@
     'UpstreamActor',
     'UpstreamHealth',
     'UpstreamRelay',
+    'WarmupLimit',
 )
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -40,6 +40,7 @@
     StopWhenIdle,
 )
 from bluebellfold.relay.upstreams.relay import UpstreamRelay
+from bluebellfold.relay.upstreams.warmup import WarmupLimit
 
 # Limits the delay until an unanswered opening packet is detected.
 TICK_INTERVAL_SECONDS = 0.05
@@ -73,6 +74,7 @@
         incarnation: int,
         agent_start: AgentStart,
         health: UpstreamHealth,
+        warmup: WarmupLimit,
         clock: Clock,
         journal: Journal,
     ) -> None:
@@ -93,6 +95,7 @@
             incarnation=incarnation,
             agent_start=agent_start,
             health=health,
+            warmup=warmup,
             transport=self,
             journal=journal,
             now=clock.now(),
@@ -109,6 +112,7 @@
             'balancers': self._relay.balancer_count,
             'flows': self._relay.flow_count,
             'requests-in-progress': self._relay.in_flight(self._clock.now()),
+            'warmup-flows-per-second': self._relay.warmup_flows_per_second,
         }
 
     async def open(self) -> None:
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -13,6 +13,7 @@
     DECLINED_FULL,
     DECLINED_OTHER_SERVICE,
     DECLINED_UNANSWERED,
+    DECLINED_WARMING,
     DOWN,
     DRAINING,
     STATE_NAMES,
@@ -28,6 +29,7 @@
 from bluebellfold.relay.upstreams.load_reporter import LoadReporter
 from bluebellfold.relay.upstreams.transport import Transport
 from bluebellfold.relay.upstreams.unknown_flows import UnknownFlows
+from bluebellfold.relay.upstreams.warmup import WarmupLimit
 
 # The upstream's kernel answers an opening packet within 1 ms.
 UNANSWERED_TIMEOUT_SECONDS = 0.1
@@ -47,6 +49,7 @@
         '_reporter',
         '_transport',
         '_unknown_flows',
+        '_warmup',
     )
 
     def __init__(
@@ -56,6 +59,7 @@
         health: UpstreamHealth,
         flows: FlowTable,
         unknown_flows: UnknownFlows,
+        warmup: WarmupLimit,
         transport: Transport,
         journal: Journal,
     ) -> None:
@@ -63,6 +67,7 @@
         self._health = health
         self._flows = flows
         self._unknown_flows = unknown_flows
+        self._warmup = warmup
         self._transport = transport
         self._journal = journal
 
@@ -128,7 +133,11 @@
     def _decline_reason(
         self, message: Offer, flow: UpstreamFlow | None, now: float
     ) -> int:
-        """Return why an offer is declined, 0 if the flow is admitted."""
+        """Return why an offer is declined, 0 if the flow is admitted.
+
+        It is called once for each offer, since a new flow takes a part of the
+        limit of a cold upstream.
+        """
         if message.service != self._health.service:
             return DECLINED_OTHER_SERVICE
         state = self._reporter.state(now)
@@ -145,4 +154,13 @@
             warming=self._health.is_warming(now),
         )
         capacity = min(capacity, message.max_in_flight)
-        return DECLINED_FULL if self._flows.in_flight(now) >= capacity else 0
+        if self._flows.in_flight(now) >= capacity:
+            return DECLINED_FULL
+        return 0 if self._take_warmup_flow(now) else DECLINED_WARMING
+
+    def _take_warmup_flow(self, now: float) -> bool:
+        """Count a flow that is otherwise admitted to a cold upstream."""
+        if not self._health.may_be_cold(now) or self._warmup.take(now):
+            return True
+        self._journal.count('flows-over-warmup-limit')
+        return False
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -81,6 +81,13 @@
             return True
         return now - self._order.announced_at < known.warmup_seconds
 
+    def may_be_cold(self, now: float) -> bool:
+        """Tell whether the upstream is warming up, or may have restarted.
+
+        After a restart it may send packets before it announces itself.
+        """
+        return self._order.may_have_restarted or self.is_warming(now)
+
     def state(self, now: float) -> int:
         """Return READY, DRAINING, DOWN or UNKNOWN."""
         if self.deregistered or self._refused or self._suspected:
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -21,6 +21,7 @@
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.performance import Performance
 from bluebellfold.relay.upstreams.transport import Transport
+from bluebellfold.relay.upstreams.warmup import WarmupLimit
 
 # Used while no balancer tells the configured idle time, which may have been
 # raised since one told it. The platform keeps no flow for longer without a
@@ -55,6 +56,8 @@
         '_subscriptions',
         '_transport',
         '_versions',
+        '_was_limited',
+        '_warmup_limit',
         '_zone',
     )
 
@@ -66,6 +69,7 @@
         health: UpstreamHealth,
         flows: FlowTable,
         performance: Performance,
+        warmup: WarmupLimit,
         transport: Transport,
         journal: Journal,
         now: float,
@@ -75,6 +79,8 @@
         self._health = health
         self._flows = flows
         self._performance = performance
+        self._warmup_limit = warmup
+        self._was_limited = False
         self._transport = transport
         self._journal = journal
         self._subscriptions = Subscriptions()
@@ -148,6 +154,7 @@
             configuration=max(known.configuration, reported.configuration),
             agents=max(known.agents, reported.agents),
         )
+        self._learn_warmup_rate(message, now)
         if is_new:
             self._journal.log('BBF0726', balancer=address[0], subscribed=True)
         if is_new or message.once:
@@ -186,7 +193,8 @@
     def report(self, now: float) -> None:
         """Send a load report to all subscribed balancers."""
         self._reported_at = now
-        self._changed = False
+        # A cold upstream takes further flows as time passes.
+        self._changed = self._detect_warmup_limit(now)
         self._sequence += 1
         in_flight = self._flows.in_flight(now)
         for address, offers_seen in self._subscriptions.offer_counts():
@@ -211,7 +219,41 @@
         told = self._subscriptions.idle_seconds
         self._idle_seconds = told or DEFAULT_IDLE_SECONDS
 
+    def _learn_warmup_rate(self, message: Subscribe, now: float) -> None:
+        before = self._warmup_limit.flows_per_second
+        changed = self._warmup_limit.learn_rate(
+            message.warmup_flows_per_second,
+            version=message.versions.configuration,
+            now=now,
+        )
+        if not changed:
+            return
+        self._changed = True
+        self._journal.log(
+            'BBF0749',
+            flows_per_second=self._warmup_limit.flows_per_second,
+            flows_per_second_before=before,
+            version=message.versions.configuration,
+        )
+
+    def _detect_warmup_limit(self, now: float) -> bool:
+        """Return whether new flows are limited, and log when this changes."""
+        limited = self._is_warmup_limited(now)
+        if limited != self._was_limited:
+            self._was_limited = limited
+            self._journal.log(
+                'BBF0750',
+                limited=limited,
+                flows_per_second=self._warmup_limit.flows_per_second,
+            )
+        return limited
+
+    def _is_warmup_limited(self, now: float) -> bool:
+        return self._warmup_limit.is_limited and self._health.may_be_cold(now)
+
     def _warmup(self, now: float) -> Warmup | None:
+        if self._is_warmup_limited(now):
+            return Warmup(flows_left=self._warmup_limit.flows_left(now))
         if not self._health.is_warming(now):
             return None
         return Warmup(flows_left=NO_FLOW_LIMIT)
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -34,6 +34,7 @@
     UPSTREAM_RESTARTED,
     UnknownFlows,
 )
+from bluebellfold.relay.upstreams.warmup import WarmupLimit
 
 # A client gives up opening a flow after 1.4 s.
 HALF_OPEN_SECONDS = 1.5
@@ -57,6 +58,7 @@
         '_reporter',
         '_sweep_due',
         '_unknown_flows',
+        '_warmup',
     )
 
     def __init__(
@@ -69,8 +71,10 @@
         transport: Transport,
         journal: Journal,
         now: float,
+        warmup: WarmupLimit | None = None,
     ) -> None:
         self._agent_start = agent_start
+        self._warmup = warmup or WarmupLimit(now=now)
         self._health = health
         self._journal = journal
         self._flows = FlowTable()
@@ -81,6 +85,7 @@
             health=health,
             flows=self._flows,
             performance=self._performance,
+            warmup=self._warmup,
             transport=transport,
             journal=journal,
             now=now,
@@ -91,6 +96,7 @@
             health=health,
             flows=self._flows,
             unknown_flows=self._unknown_flows,
+            warmup=self._warmup,
             transport=transport,
             journal=journal,
         )
@@ -119,6 +125,11 @@
         """Return how many balancers are subscribed."""
         return len(self._reporter.subscriptions)
 
+    @property
+    def warmup_flows_per_second(self) -> float:
+        """Return the limit of a cold upstream, 0 if there is none."""
+        return self._warmup.flows_per_second
+
     @property
     def upstream_deregistered(self) -> bool:
         """Tell whether the upstream has deregistered."""
--- a/bluebellfold/relay/upstreams/start_order.py
+++ b/bluebellfold/relay/upstreams/start_order.py
@@ -84,6 +84,11 @@
         """Tell whether the start has deregistered."""
         return self._deregistered
 
+    @property
+    def port_closed(self) -> bool:
+        """Tell whether the port was closed after the last announcement."""
+        return self._port_closed
+
     @property
     def ended(self) -> bool:
         """Tell whether the start has deregistered or closed its port."""
@@ -255,6 +260,20 @@
             return bool(self._deregistered_name)
         return self._known.deregistered
 
+    @property
+    def may_have_restarted(self) -> bool:
+        """Tell whether a start may run that the known one hides.
+
+        The port was closed, or another start has announced itself, since the
+        last announcement of the known start.
+        """
+        if self._known is None:
+            return False
+        return self._known.port_closed or any(
+            not candidate.was_replaced
+            for candidate in self._candidates.values()
+        )
+
     def judge(self, announcement: Announcement, now: float) -> StartVerdict:
         """Decide whether an announcement applies, and remember it if so."""
         known = self._known
