--- a/bluebellfold/relay/upstreams/warmup.py
+++ b/bluebellfold/relay/upstreams/warmup.py
@@ -5,11 +5,10 @@
 handle. The agent sees the opening packets of all balancers, so that its token
 bucket enforces the limit whatever they offer.
 
-The bucket and the flows accepted after a start of the agent are sized such that
-any second with one restart of the agent in it stays within the rate times the
-overshoot plus the slack: ``slack - 1`` flows before the rate is known, a bucket
-of ``1 + (overshoot - 1) * rate`` flows before the restart, and one second at
-the rate.
+The bound is the rate times the overshoot plus the slack, in any second. A
+restarted agent doesn't know what its predecessor accepted, so each start has a
+share of the slack until the rate is known, and the bucket holds what the bound
+leaves beside these shares and a second at the rate.
 """
 
 import math
@@ -17,6 +16,9 @@
 from bluebellfold.core import NO_VERSION
 from bluebellfold.relay.agents import NO_FLOW_LIMIT
 
+# An agent that crashes again and again starts at most this often in any second,
+# since a process takes some 0.3 s until it receives packets.
+MAX_STARTS_PER_SECOND = 4
 # Without a known slack, or at a rate of less than one flow a second, the bucket
 # still has to hold the one flow that it lets through.
 MIN_BURST_FLOWS = 1.0
@@ -49,7 +51,9 @@
     ) -> None:
         self._slack = slack
         self._overshoot = overshoot
-        self._flows_before_rate = max(0, math.floor(slack or 0) - 1)
+        self._flows_before_rate = math.floor(
+            (slack or 0) / MAX_STARTS_PER_SECOND
+        )
         self._rate: float | None = None
         self._refilled_at = now
         self._tokens = float(0)
@@ -116,7 +120,11 @@
         if self._slack is None:
             return MIN_BURST_FLOWS
         margin = ((self._overshoot or 1) - 1) * self.flows_per_second
-        return max(MIN_BURST_FLOWS, min(self._slack, MIN_BURST_FLOWS + margin))
+        other_starts = MAX_STARTS_PER_SECOND - 1
+        shares = other_starts * math.floor(self._slack / MAX_STARTS_PER_SECOND)
+        return max(
+            MIN_BURST_FLOWS, min(self._slack, self._slack - shares + margin)
+        )
 
     def _refill(self, now: float) -> None:
         earned = (now - self._refilled_at) * self.flows_per_second
