Let the soak restart crashed upstreams cold

The upstream announces 2 s of warm-up after its restart, the configuration limits it to 2 flows/s, and each second is checked from the moment at which its agent has accepted the announcement.

--- a/bluebellfold/soak/invariants.py
+++ b/bluebellfold/soak/invariants.py
@@ -102,6 +102,18 @@
                 f'{opened} flows opened late in the drain of {upstream}'
             )
 
+    def record_warmup(
+        self, upstream: str, opened_at: list[float], *, bound: float
+    ) -> None:
+        """Record when a cold upstream got flows, and check each second."""
+        for start in opened_at:
+            received = sum(start <= at < start + 1 for at in opened_at)
+            if received > bound:
+                self.violations.append(
+                    f'{received} flows in a second at the cold {upstream}'
+                )
+                return
+
     def record_probe(
         self, balancer: str, *, is_open: bool, expected: bool, at: float
     ) -> None:
--- a/bluebellfold/soak/site.py
+++ b/bluebellfold/soak/site.py
@@ -13,6 +13,7 @@
 from bluebellfold.standins.packets import SERVICE
 from bluebellfold.standins.relay_peers import StandinUpstream
 from bluebellfold.standins.relay_site import (
+    AGENT_SETTINGS,
     IDLE_MS,
     UPSTREAM_START_MS,
     RelaySite,
@@ -26,11 +27,26 @@
 # Port of the route that faults add and remove.
 EXTRA_PORT = 444
 MS_PER_SECOND = 1000
+# A restarted upstream takes few new flows for this long.
+WARMUP_SECONDS = 2.0
+WARMUP_FLOWS_PER_SECOND = 2.0
+WARMUP_OVERSHOOT = 1.5
+# The clients open few flows: without the limit, an upstream gets 5 to 8 in a
+# second, which a slack of 5 would allow.
+WARMUP_SLACK = 1
+BOUNDS = f"""
+[bounds]
+warmup_overshoot = {WARMUP_OVERSHOOT}
+warmup_slack = {WARMUP_SLACK}
+"""
 
 
 class SoakSite(RelaySite):
     """Run a site whose processes reach the store through proxies."""
 
+    agent_settings = AGENT_SETTINGS + BOUNDS
+    warmup_rate = WARMUP_FLOWS_PER_SECOND
+
     def __init__(
         self, *, folder: Path, net: int, checker: InvariantChecker
     ) -> None:
@@ -39,6 +55,7 @@
         self.proxies: dict[str, StoreProxy] = {}
         self.incarnations: list[int] = []
         self.draining: set[int] = set()
+        self._warm_at: dict[int, float] = {}
         self.has_extra_route = False
         self.routes_changed_at = float(0)
         self._idle_changes = [(float(0), IDLE_MS)]
@@ -144,16 +161,27 @@
         self.incarnations[index] += clock_step_ms
         return self.restart_upstream(index)
 
+    def start_cold_upstream(self, index: int) -> StandinUpstream:
+        """Start a new incarnation of an upstream that has to warm up."""
+        self._warm_at[index] = self.now() + WARMUP_SECONDS
+        return self.start_upstream(index)
+
+    async def announce_current(self, index: int) -> int:
+        """Announce a running upstream, and return the response's status."""
+        left = self._warm_at.get(index, 0) - self.now()
+        return await self.announce(
+            index,
+            born=self.incarnations[index],
+            state='draining' if index in self.draining else 'ready',
+            warmup_ms=max(0, round(left * MS_PER_SECOND)),
+        )
+
     async def keep_announcing(self) -> None:
         """Announce the running upstreams periodically, until cancelled."""
         while True:
             await asyncio.gather(
                 *(
-                    self.announce(
-                        index,
-                        born=self.incarnations[index],
-                        state='draining' if index in self.draining else 'ready',
-                    )
+                    self.announce_current(index)
                     for index, upstream in enumerate(self.upstreams)
                     if upstream.is_listening
                 ),
@@ -168,5 +196,10 @@
         self.store.put(
             'config',
             'main',
-            make_configuration(self._version, *ports, idle_ms=idle_ms),
+            make_configuration(
+                self._version,
+                *ports,
+                idle_ms=idle_ms,
+                warmup_rate=self.warmup_rate,
+            ),
         )
--- a/bluebellfold/soak/tests/test_invariants.py
+++ b/bluebellfold/soak/tests/test_invariants.py
@@ -15,6 +15,18 @@
     assert len(checker.violations) == 1
 
 
+@pytest.mark.parametrize(
+    ('opened_at', 'violations'),
+    [((0, 0.1, 0.9, 1.1), 0), ((0, 0.1, 0.2, 0.9, 1.1), 1)],
+)
+def test_second_over_the_bound_of_a_cold_upstream_is_a_violation(
+    opened_at, violations
+):
+    checker = InvariantChecker()
+    checker.record_warmup('upstream-1', list(opened_at), bound=3)
+    assert len(checker.violations) == violations
+
+
 @pytest.mark.parametrize(
     'response',
     [b'upstream-2:request 1.', b'upstream-1:request 2.', b'upstream'],
--- a/bluebellfold/soak/upstream_faults.py
+++ b/bluebellfold/soak/upstream_faults.py
@@ -8,7 +8,14 @@
 from bluebellfold.soak.faults import FAULTS
 from bluebellfold.soak.invariants import DRAIN_GRACE_SECONDS
 from bluebellfold.soak.plan import ScheduledFault
-from bluebellfold.soak.site import MS_PER_SECOND, SoakSite
+from bluebellfold.soak.site import (
+    MS_PER_SECOND,
+    WARMUP_FLOWS_PER_SECOND,
+    WARMUP_OVERSHOOT,
+    WARMUP_SECONDS,
+    WARMUP_SLACK,
+    SoakSite,
+)
 
 CLOCK_STEP_MS = 2000
 # A draining upstream is observed for this long after the grace time.
@@ -17,13 +24,24 @@
 
 @FAULTS.add('upstream-crashed')
 async def crash_upstream(site: SoakSite, fault: ScheduledFault) -> None:
-    """Crash an upstream and restart it."""
+    """Crash an upstream and restart it cold."""
     index = fault.target % len(site.upstreams)
     if not site.try_acquire(f'upstream-{index}'):
         return
     site.crash_upstream(index)
     await asyncio.sleep(fault.seconds)
-    site.start_upstream(index)
+    upstream = site.start_cold_upstream(index)
+    warm_at = time.monotonic() + WARMUP_SECONDS
+    while not await _is_announced(site, index):
+        await asyncio.sleep(fault.seconds / 10)
+    # Until now, the agent may not have known of the restart.
+    known_at = time.monotonic()
+    await asyncio.sleep(max(0, warm_at - known_at))
+    site.checker.record_warmup(
+        upstream.name,
+        [at for at in upstream.opening_times if known_at <= at < warm_at],
+        bound=WARMUP_FLOWS_PER_SECOND * WARMUP_OVERSHOOT + WARMUP_SLACK,
+    )
     site.release(f'upstream-{index}')
 
 
@@ -78,7 +96,7 @@
         return
     site.draining.add(index)
     upstream = site.upstreams[index]
-    while not await _is_acknowledged(site, index):
+    while not await _is_announced(site, index):
         await asyncio.sleep(fault.seconds / 10)
     await asyncio.sleep(DRAIN_GRACE_SECONDS)
     opened = len(upstream.opened_flows)
@@ -93,11 +111,9 @@
     site.release(component)
 
 
-async def _is_acknowledged(site: SoakSite, index: int) -> bool:
+async def _is_announced(site: SoakSite, index: int) -> bool:
     try:
-        status = await site.announce(
-            index, born=site.incarnations[index], state='draining'
-        )
+        status = await site.announce_current(index)
     except PlatformUnavailableError:
         # An unreachable agent acknowledges later.
         return False
--- a/bluebellfold/standins/relay_peers.py
+++ b/bluebellfold/standins/relay_peers.py
@@ -49,6 +49,8 @@
         self.on_request: Callable[[bytes, str], None] | None = None
         self.requests: list[bytes] = []
         self.opened_flows: list[bytes] = []
+        # When the opening packet of each flow was first received.
+        self.opening_times: list[float] = []
         self._outbound = (outbound.host, outbound.port)
         self._socket = DatagramSocket(endpoint=endpoint)
         self._sequences: dict[bytes, int] = {}
@@ -86,6 +88,8 @@
         if self.loses_next_opening:
             self.loses_next_opening = False
             return
+        if packet.flow not in self._sequences:
+            self.opening_times.append(time.monotonic())
         sequence = self._sequences.setdefault(
             packet.flow, random.randrange(SEQUENCE_COUNT)
         )
--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -67,9 +67,12 @@
 
 
 def make_configuration(
-    version: int, *ports: int, idle_ms: int = IDLE_MS
+    version: int, *ports: int, idle_ms: int = IDLE_MS, warmup_rate: float = 0
 ) -> dict:
-    """Return a configuration with one route for each port of the service."""
+    """Return a configuration with one route for each port of the service.
+
+    A cold upstream takes ``warmup_rate`` new flows per second, 0: no limit.
+    """
     routes = [
         {
             'Name': f'r-{port}',
@@ -86,7 +89,7 @@
     return {
         'Version': version,
         'Routes': routes,
-        'Services': [],
+        'Services': [{'Name': SERVICE_NAME, 'WarmupPerS': warmup_rate}],
         'Limits': {'IdleTimeoutMs': idle_ms},
     }
 
@@ -98,6 +101,9 @@
     of ``net`` can run at the same time.
     """
 
+    agent_settings = AGENT_SETTINGS
+    warmup_rate: float = 0
+
     def __init__(self, *, folder: Path, net: int = 0) -> None:
         self._net = net
         self.platform = PlatformStandin()
@@ -137,7 +143,7 @@
 
     async def start_agent(self, host: str) -> Child:
         """Start an agent and wait until it is ready."""
-        return await self._start('agent', host, AGENT_SETTINGS)
+        return await self._start('agent', host, self.agent_settings)
 
     def client(self, *, balancer_index: int | None = None) -> StandinClient:
         """Return a client.
@@ -176,10 +182,12 @@
         *,
         state: str = 'ready',
         born: int = UPSTREAM_START_MS,
+        warmup_ms: int = 0,
     ) -> int:
         """Announce an upstream and return the status of the response.
 
-        ``born`` is the start time of the upstream in milliseconds.
+        ``born`` is the start time of the upstream in milliseconds, and
+        ``warmup_ms`` how long it is still cold.
         """
         host = self._agent_host(number)
         body = {
@@ -189,7 +197,7 @@
             'Version': 'v1',
             'Concurrency': 2,
             'State': state,
-            'WarmupLeftMs': 0,
+            'WarmupLeftMs': warmup_ms,
             'Sequence': next(self._sequences),
             'born': born,
         }
@@ -239,7 +247,11 @@
     async def _start_all(self, balancers: int, agents: int) -> None:
         await self.platform.start()
         self._stack.push_async_callback(self.platform.stop)
-        self.store.put('config', 'main', make_configuration(1, SERVICE[1]))
+        self.store.put(
+            'config',
+            'main',
+            make_configuration(1, SERVICE[1], warmup_rate=self.warmup_rate),
+        )
         for number in range(agents):
             self._add_upstream(number)
         self.agents = await asyncio.gather(
