--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -223,6 +223,31 @@
     asyncio.run(scenario())
 
 
+def test_route_uses_the_regions_of_the_settings(tmp_path):
+    # Zone a of all agents is in the region north.
+    async def scenario():
+        async with run_site(tmp_path) as site:
+            put_regions(site, 2, 'south')
+            await wait_until(lambda: is_refused(site, 'no-upstream-in-region'))
+            put_regions(site, 3, 'north', 'south')
+            await open_with_retries(site.client())
+
+    def put_regions(site, version, *regions):
+        configuration = make_configuration(
+            version, SERVICE[1], allowed_regions=regions
+        )
+        site.store.put('config', 'main', configuration)
+
+    async def is_refused(site, reason):
+        try:
+            await site.client().open()
+        except FlowResetError:
+            return any(reason in child.log for child in site.balancers)
+        return False
+
+    asyncio.run(scenario())
+
+
 def test_configuration_is_in_force_after_store_lost_its_history(tmp_path):
     async def scenario():
         async with run_site(tmp_path) as site:
--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -40,6 +40,7 @@
 [process]
 name = {name}
 zone = a
+regions = '{{"a": "north"}}'
 [balancer]
 callers = {host}:{datagram}
 agents = {host}:{peer}
@@ -67,7 +68,11 @@
 
 
 def make_configuration(
-    version: int, *ports: int, idle_ms: int = IDLE_MS, warmup_rate: float = 0
+    version: int,
+    *ports: int,
+    idle_ms: int = IDLE_MS,
+    warmup_rate: float = 0,
+    allowed_regions: tuple[str, ...] = (),
 ) -> dict:
     """Return a configuration with one route for each port of the service.
 
@@ -83,6 +88,7 @@
             'TargetLatencyMs': 200,
             'Priority': 1,
             'Service': SERVICE_NAME,
+            'AllowedRegions': list(allowed_regions),
         }
         for port in ports
     ]
