--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -402,6 +402,18 @@
     meaning="the store's answer replaced the copy from another balancer",
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0749',
+    level=logging.INFO,
+    meaning='the rate of new flows of a cold upstream is known or has changed',
+    remedy=NO_REMEDY,
+)
+register(
+    number='BBF0750',
+    level=logging.INFO,
+    meaning="the limit on a cold upstream's new flows begins or ends",
+    remedy=NO_REMEDY,
+)
 register(
     number='BBF0743',
     level=logging.INFO,
--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -57,6 +57,7 @@
             client_endpoint=settings.clients,
             agent_endpoint=settings.agents,
             zone=settings.process.zone,
+            regions=settings.process.regions,
             clock=self._clock,
             journal=self._journal,
         )
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -1,5 +1,7 @@
 """Define the messages between balancers and agents."""
 
+from types import MappingProxyType
+
 from bluebellfold.core import Message, Packet, read_only
 from bluebellfold.relay.agents.agent_entry import Address
 from bluebellfold.relay.agents.agent_load import AgentLoad, Versions
@@ -26,6 +28,11 @@
 # The upstream is warming up and takes no more new flows at this moment.
 DECLINED_WARMING = 8
 
+# Why an agent declines all offers while its upstream is in one of these states.
+STATE_DECLINES = MappingProxyType(
+    {DRAINING: DECLINED_DRAINING, DOWN: DECLINED_DOWN}
+)
+
 DECLINE_NAMES = (
     'none',
     'draining',
--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -4,12 +4,19 @@
 from collections.abc import Callable, Iterable
 from types import MappingProxyType
 
-from bluebellfold.core import Packet, Route, format_flow, service_address
+from bluebellfold.core import (
+    Packet,
+    Regions,
+    Route,
+    format_flow,
+    service_address,
+)
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
     DECLINED_FULL,
     DECLINED_REJECTED,
     DECLINED_UNANSWERED,
+    DECLINED_WARMING,
     NO_AGENT,
     Address,
     AgentTable,
@@ -19,7 +26,7 @@
     select_agent,
 )
 from bluebellfold.relay.callers.agent_follower import AgentFollower
-from bluebellfold.relay.callers.evacuations import Evacuations
+from bluebellfold.relay.callers.eligibility import Eligibility
 from bluebellfold.relay.callers.flow_cache import Assignment, FlowCache
 from bluebellfold.relay.callers.flow_queue import (
     RETRANSMIT_SECONDS,
@@ -37,6 +44,11 @@
 DECLINE_BACKOFF_SECONDS = MappingProxyType(
     {DECLINED_FULL: 0.005, DECLINED_REJECTED: 0.03},
 )
+# While an upstream is cold, its load reports follow each other in at most this
+# time and tell whether it takes flows again.
+MAX_WARMING_BACKOFF_SECONDS = 0.2
+# Reasons of declines after which the agent may soon have capacity.
+LACKS_CAPACITY = frozenset((DECLINED_FULL, DECLINED_REJECTED, DECLINED_WARMING))
 # Until a flow has been declined this often, its offers limit the agent's
 # in-flight requests: many balancers act on the same load report and would all
 # choose the same agent.
@@ -49,7 +61,6 @@
 LAST_ATTEMPT = 2
 # The greatest value of the one-byte field: only the agent's own limit applies.
 NO_IN_FLIGHT_LIMIT = 0xFF
-ALL_ZONES_EVACUATED = 'all-zones-evacuated'
 MS_PER_SECOND = 1000
 _HASH_RANGE = 0x100000000
 
@@ -60,7 +71,7 @@
     __slots__ = (
         '_agent_table',
         '_draw',
-        '_evacuations',
+        '_eligibility',
         '_flows',
         '_follower',
         '_journal',
@@ -79,7 +90,7 @@
         agent_table: AgentTable,
         follower: AgentFollower,
         routes: ActiveRoutes,
-        evacuations: Evacuations,
+        eligibility: Eligibility,
         flows: FlowCache,
         transport: Transport,
         journal: Journal,
@@ -91,7 +102,7 @@
         self._agent_table = agent_table
         self._follower = follower
         self._routes = routes
-        self._evacuations = evacuations
+        self._eligibility = eligibility
         self._flows = flows
         self._transport = transport
         self._journal = journal
@@ -118,7 +129,9 @@
         agent = assignment.agent
         if agent is not None:
             view = self._agent_table.find(agent)
-            offerable = view is not None and self._is_offerable(view, now)
+            offerable = view is not None and self._is_offerable(
+                view, packet, now
+            )
             if offerable and packet.attempt < LAST_ATTEMPT:
                 self._send_offer(packet, assignment, view, now)
                 return
@@ -149,7 +162,7 @@
         if assignment.is_established:
             assignment.unassign(address)
             return
-        if message.reason in {DECLINED_FULL, DECLINED_REJECTED}:
+        if message.reason in LACKS_CAPACITY:
             # The agent may have capacity a moment later.
             assignment.unassign(address)
         else:
@@ -158,7 +171,7 @@
             assignment.expect_answer()
         view = self._agent_table.find(address)
         if view is not None:
-            backoff = DECLINE_BACKOFF_SECONDS.get(message.reason, 0)
+            backoff = self._backoff_seconds(message.reason, view)
             view.back_off_until(now + backoff)
         self._journal.count('flows-declined')
         self._journal.log(
@@ -174,15 +187,14 @@
         if self.queued_flows:
             self._assign_in_order(self._queue.list_for_service(service), now)
 
-    def refuse_evacuated(self, now: float) -> None:
-        """Refuse queued flows whose upstreams are all in evacuated zones."""
+    def refuse_unservable(self, now: float) -> None:
+        """Refuse queued flows for which no listed agent is eligible."""
         for service in self._queue.services:
-            if not self._is_evacuated(service):
-                continue
             for queued in self._queue.list_for_service(service):
-                flow = queued.packet.flow
-                assignment = self._flows.find_or_add(flow, now)
-                self._assign(queued.packet, assignment, now)
+                if self._is_unservable(queued, service):
+                    flow = queued.packet.flow
+                    assignment = self._flows.find_or_add(flow, now)
+                    self._assign(queued.packet, assignment, now)
 
     def tick(self, now: float) -> None:
         """Time out queued flows and pending offers, and retry the queue."""
@@ -208,14 +220,20 @@
     def _assign_in_order(
         self, queued_flows: Iterable[QueuedFlow], now: float
     ) -> None:
+        full_regions: set[Regions] = set()
         for queued in queued_flows:
+            regions = queued.allowed_regions
+            if regions in full_regions:
+                continue
             flow = queued.packet.flow
             assignment = self._flows.find_or_add(flow, now)
             self._assign(queued.packet, assignment, now)
             if flow in self._queue and not assignment.excluded_agents:
-                # The flow excludes no agent, so none has capacity, and the
-                # later flows can't be assigned either.
-                return
+                # The flow excludes no agent, so none in its regions has
+                # capacity, and the later flows can't be assigned there either.
+                if not regions:
+                    return
+                full_regions.add(regions)
 
     def _reassign_unanswered(
         self, packet: Packet, address: Address, now: float
@@ -246,14 +264,12 @@
             self._refuse_unrouted(packet)
             return
         service = route.select_service(_hash_fraction(packet.flow))
-        if self._is_evacuated(service) and not assignment.awaits_answer:
-            self._journal.count('flows-refused-evacuated')
-            self._refuse(packet, ALL_ZONES_EVACUATED)
+        obstacle = self._eligibility.find_obstacle(service, route)
+        if obstacle is not None and not assignment.awaits_answer:
+            self._refuse(packet, obstacle.name)
             return
         selected = select_agent(
-            self._evacuations.filter_usable(
-                self._agent_table.of_service(service)
-            ),
+            self._eligibility.select(service, route),
             zone=self._zone,
             now=now,
             draw=self._draw,
@@ -262,7 +278,9 @@
         )
         if not selected or selected.in_flight >= selected.load.slots:
             # Agents outside of the subset may be idle.
-            self._follower.sample(service, now)
+            self._follower.sample(
+                service, now, allowed_regions=route.allowed_regions
+            )
         if not selected:
             if selected is NO_AGENT:
                 # When no agent is left, the excluded ones are allowed again.
@@ -273,15 +291,25 @@
         self._queue.remove(packet.flow)
         self._send_offer(packet, assignment, selected, now)
 
-    def _is_offerable(self, view: AgentView, now: float) -> bool:
-        return view.is_live(now) and not self._evacuations.covers(view)
-
-    def _is_evacuated(self, service: str) -> bool:
-        """Return whether all listed agents are in evacuated zones."""
-        if not self._evacuations.zones:
+    def _is_unservable(self, queued: QueuedFlow, service: str) -> bool:
+        if queued.route is None:
             return False
-        listed_zones = self._agent_table.zones_for(service)
-        return bool(listed_zones) and listed_zones <= self._evacuations.zones
+        obstacle = self._eligibility.find_obstacle(service, queued.route)
+        return obstacle is not None
+
+    def _is_offerable(
+        self, view: AgentView, packet: Packet, now: float
+    ) -> bool:
+        route = self._routes.table.find(service_address(packet.flow))
+        return view.is_live(now) and self._eligibility.allows(view, route)
+
+    def _backoff_seconds(self, reason: int, view: AgentView) -> float:
+        if reason != DECLINED_WARMING or view.load is None:
+            return DECLINE_BACKOFF_SECONDS.get(reason, 0)
+        rate = self._routes.table.find_warmup_rate(view.load.service)
+        # After this time the upstream takes one flow more.
+        interval = 1 / rate if rate else MAX_WARMING_BACKOFF_SECONDS
+        return min(interval, MAX_WARMING_BACKOFF_SECONDS)
 
     def _send_offer(
         self,
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -3,7 +3,7 @@
 The transport carries the decisions out.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatchmethod
 
 from bluebellfold.core import Message, Packet, RoutingTable
@@ -24,9 +24,11 @@
 )
 from bluebellfold.relay.callers.admission import FlowAdmission
 from bluebellfold.relay.callers.agent_follower import AgentFollower
+from bluebellfold.relay.callers.eligibility import Eligibility
 from bluebellfold.relay.callers.evacuations import Evacuations
 from bluebellfold.relay.callers.flow_cache import FlowCache
 from bluebellfold.relay.callers.forwarding import FlowForwarder
+from bluebellfold.relay.callers.home_regions import NO_REGIONS, HomeRegions
 from bluebellfold.relay.callers.state_sources import StateSources
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.versions import ActiveRoutes, NewestVersion
@@ -49,7 +51,8 @@
     """Assign new flows to agents, and forward packets of established ones.
 
     ``identity`` differs between balancers. ``draw`` returns a random number in
-    [0, 1). Methods take ``now`` in seconds of a monotonic clock.
+    [0, 1). ``regions`` maps zones to regions. Methods take ``now`` in seconds
+    of a monotonic clock.
     """
 
     __slots__ = (
@@ -79,7 +82,9 @@
         journal: Journal,
         draw: Callable[[], float],
         policy: str = DEFAULT_POLICY,
+        regions: Mapping[str, str] = NO_REGIONS,
     ) -> None:
+        home_regions = HomeRegions(regions=regions)
         self._transport = transport
         self._journal = journal
         self._routes = ActiveRoutes()
@@ -87,6 +92,7 @@
         self._agents_revision = 0
         self._newest_agents_revision = NewestVersion()
         self._evacuations = Evacuations()
+        self._sources = StateSources()
         self._flows = FlowCache()
         self._follower = AgentFollower(
             identity=identity,
@@ -96,6 +102,7 @@
             evacuations=self._evacuations,
             transport=transport,
             draw=draw,
+            home_regions=home_regions,
         )
         self._forwarder = FlowForwarder(
             agent_table=self._agent_table,
@@ -109,7 +116,12 @@
             agent_table=self._agent_table,
             follower=self._follower,
             routes=self._routes,
-            evacuations=self._evacuations,
+            eligibility=Eligibility(
+                agent_table=self._agent_table,
+                evacuations=self._evacuations,
+                home_regions=home_regions,
+                sources=self._sources,
+            ),
             flows=self._flows,
             transport=transport,
             journal=journal,
@@ -119,7 +131,6 @@
         self._register_due = float(0)
         self._sweep_due = float(0)
         self._last_run_at: float | None = None
-        self._sources = StateSources()
 
     @property
     def version(self) -> int:
@@ -232,7 +243,7 @@
                 removed=list(change.removed),
                 revision=revision,
             )
-            self._admission.refuse_evacuated(now)
+            self._admission.refuse_unservable(now)
 
     def update_evacuations(
         self, zones: frozenset[str], now: float, *, revision: int
@@ -388,7 +399,7 @@
     def _apply_evacuations(self, now: float) -> None:
         # The agents that this balancer follows learn it within a tick.
         self._follower.renew_at_once(now)
-        self._admission.refuse_evacuated(now)
+        self._admission.refuse_unservable(now)
 
     def _log_evacuation(self, zone: str, *, source: str) -> None:
         evacuation = self._evacuations.find(zone)
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -8,14 +8,12 @@
 from bluebellfold.core import format_flow
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
-    DECLINED_DOWN,
-    DECLINED_DRAINING,
     DECLINED_EVACUATED,
     DECLINED_FULL,
     DECLINED_OTHER_SERVICE,
     DECLINED_UNANSWERED,
-    DOWN,
-    DRAINING,
+    DECLINED_WARMING,
+    STATE_DECLINES,
     STATE_NAMES,
     Address,
     Declined,
@@ -29,6 +27,7 @@
 from bluebellfold.relay.upstreams.load_reporter import LoadReporter
 from bluebellfold.relay.upstreams.transport import Transport
 from bluebellfold.relay.upstreams.unknown_flows import UnknownFlows
+from bluebellfold.relay.upstreams.warmup import WarmupLimit
 
 # The upstream's kernel answers an opening packet within 1 ms.
 UNANSWERED_TIMEOUT_SECONDS = 0.1
@@ -48,6 +47,7 @@
         '_reporter',
         '_transport',
         '_unknown_flows',
+        '_warmup',
     )
 
     def __init__(
@@ -57,6 +57,7 @@
         health: UpstreamHealth,
         flows: FlowTable,
         unknown_flows: UnknownFlows,
+        warmup: WarmupLimit,
         transport: Transport,
         journal: Journal,
     ) -> None:
@@ -64,6 +65,7 @@
         self._health = health
         self._flows = flows
         self._unknown_flows = unknown_flows
+        self._warmup = warmup
         self._transport = transport
         self._journal = journal
 
@@ -131,23 +133,35 @@
     def _decline_reason(
         self, message: Offer, flow: UpstreamFlow | None, now: float
     ) -> int:
-        """Return why an offer is declined, 0 if the flow is admitted."""
+        """Return why an offer is declined, 0 if the flow is admitted.
+
+        It is called once for each offer, since a new flow takes a part of the
+        limit of a cold upstream.
+        """
         if message.service != self._health.service:
             return DECLINED_OTHER_SERVICE
-        state = self._reporter.state(now)
-        if state == DRAINING:
-            return DECLINED_DRAINING
-        if state == DOWN:
-            return DECLINED_DOWN
-        if flow is not None:
+        reason = STATE_DECLINES.get(self._reporter.state(now), 0)
+        if reason or flow is not None:
             # A copy of the opening packet adds no load.
-            return 0
+            return reason
         if self._reporter.evacuation.evacuated:
             return DECLINED_EVACUATED
+        return self._lack_of_capacity(message, now)
+
+    def _lack_of_capacity(self, message: Offer, now: float) -> int:
         capacity = queue_capacity(
             MAX_IN_FLIGHT_PER_SLOT,
             slots=self._health.slots,
             warming=self._health.is_warming(now),
         )
         capacity = min(capacity, message.max_in_flight)
-        return DECLINED_FULL if self._flows.in_flight(now) >= capacity else 0
+        if self._flows.in_flight(now) >= capacity:
+            return DECLINED_FULL
+        return 0 if self._take_warmup_flow(now) else DECLINED_WARMING
+
+    def _take_warmup_flow(self, now: float) -> bool:
+        """Count a flow that is otherwise admitted to a cold upstream."""
+        if not self._health.may_be_cold(now) or self._warmup.take(now):
+            return True
+        self._journal.count('flows-over-warmup-limit')
+        return False
