Divide contended capacity between routes and clients

Queued flows were assigned by strict priority, then the newest. A burst of urgent flows starved the others, a burst of one route took the places of the routes beside it, and a client got capacity by its demand.

A service is contended when its queue has not drained within the lowest target latency of its routes, counted from when agents of it are ready. Its routes then get shares by the rank of their priority, each twice that of the next, and what a route leaves is lent (start-time fair queueing). Within a route the newest flow stays first, but a client gets four turns a round as long as another one has a flow that can meet its target. New and declined flows take their turn among the queued ones. Without contention the order is the old one. Queued flows also expire at the timeout of their route if that is under 1.3 s.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -426,3 +426,15 @@
     meaning='a queued flow was removed: its client stopped retransmitting',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0751',
+    level=logging.WARNING,
+    meaning='flows of a service wait too long: its routes now get shares',
+    remedy='add upstreams if it lasts; docs/OPERATIONS.md names the cause',
+)
+register(
+    number='BBF0752',
+    level=logging.INFO,
+    meaning='the queued flows of a service no longer wait too long',
+    remedy=NO_REMEDY,
+)
--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -1,7 +1,7 @@
 """Decide for each new flow: assign an agent, queue the flow or refuse it."""
 
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from types import MappingProxyType
 
 from bluebellfold.core import Packet, Route, format_flow, service_address
@@ -18,13 +18,15 @@
     select_agent,
 )
 from bluebellfold.relay.callers.agent_follower import AgentFollower
+from bluebellfold.relay.callers.contention import ContentionMonitor
 from bluebellfold.relay.callers.flow_cache import Assignment, FlowCache
-from bluebellfold.relay.callers.flow_queue import (
+from bluebellfold.relay.callers.flow_queue import FlowQueue
+from bluebellfold.relay.callers.pending_offers import PendingOffers
+from bluebellfold.relay.callers.queued_flow import (
     RETRANSMIT_SECONDS,
-    FlowQueue,
     QueuedFlow,
 )
-from bluebellfold.relay.callers.pending_offers import PendingOffers
+from bluebellfold.relay.callers.service_queue import CONTENDED, ServiceQueue
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.versions import ActiveRoutes
 from bluebellfold.relay.collectors import Journal
@@ -56,6 +58,7 @@
 
     __slots__ = (
         '_agent_table',
+        '_contention',
         '_draw',
         '_flows',
         '_follower',
@@ -92,6 +95,9 @@
         self._draw = draw
         self._pending_offers = PendingOffers()
         self._queue = FlowQueue()
+        self._contention = ContentionMonitor(
+            agent_table=agent_table, journal=journal
+        )
 
     @property
     def queued_flows(self) -> int:
@@ -117,7 +123,7 @@
                 self._send_offer(packet, assignment, view, now)
                 return
             assignment.exclude(agent)
-        self._assign(packet, assignment, now)
+        self._assign_in_turn(packet, assignment, now)
 
     def mark_established(self, packet: Packet) -> None:
         """Record that the client has received a packet of an upstream.
@@ -139,6 +145,7 @@
         """Reassign a flow that an agent has declined."""
         packet = message.packet
         self._pending_offers.remove(packet.flow)
+        self._retract_assignment(packet.flow)
         assignment = self._flows.find_or_add(packet.flow, now)
         if assignment.is_established:
             assignment.unassign(address)
@@ -159,45 +166,114 @@
             agent=address[0],
             reason=DECLINE_NAMES[message.reason],
         )
-        self._assign(packet, assignment, now)
+        self._assign_in_turn(packet, assignment, now)
 
     def assign_queued(self, service: str, now: float) -> None:
         """Assign queued flows of a service whose load has changed."""
-        if self.queued_flows:
-            self._assign_in_order(self._queue.list_for_service(service), now)
+        self._queue_unrouted(now)
+        service_queue = self._queue.find_service(service)
+        if service_queue is not None:
+            self._assign_in_order(service_queue, now)
 
     def tick(self, now: float) -> None:
         """Time out queued flows and pending offers, and retry the queue."""
-        for expired in self._queue.pop_expired(now):
-            self._refuse(expired.packet, 'no-upstream-in-time')
-        for abandoned in self._queue.pop_abandoned(now):
-            flow = abandoned.packet.flow
-            self._flows.remove(flow)
-            self._journal.count('flows-abandoned')
-            self._journal.log(
-                'BBF0739',
-                flow=format_flow(flow),
-                attempt=abandoned.packet.attempt,
-                waited_ms=round((now - abandoned.opened_at) * MS_PER_SECOND),
-            )
-        for service in self._queue.services:
-            self.assign_queued(service, now)
+        for overdue in self._queue.pop_overdue(now):
+            if overdue.is_expired(now):
+                self._refuse(overdue.packet, 'no-upstream-in-time')
+            else:
+                self._drop_abandoned(overdue, now)
+        self._queue_unrouted(now)
+        self._contention.observe(self._queue, now)
+        for service_queue in self._queue.services:
+            self._assign_in_order(service_queue, now)
         for offer in self._pending_offers.pop_unanswered(
             self._agent_table, now
         ):
             self._reassign_unanswered(offer.packet, offer.address, now)
 
-    def _assign_in_order(
-        self, queued_flows: Iterable[QueuedFlow], now: float
+    def _assign_in_turn(
+        self, packet: Packet, assignment: Assignment, now: float
     ) -> None:
-        for queued in queued_flows:
+        """Assign a flow, after those that wait already under contention."""
+        service_queue = self._find_service_queue(packet.flow)
+        if service_queue is None or not service_queue.is_contended:
+            self._assign(packet, assignment, now)
+            return
+        route = self._routes.table.find(service_address(packet.flow))
+        self._enqueue(packet, route, CONTENDED.name, assignment, now)
+        self._assign_in_order(service_queue, now)
+
+    def _assign_in_order(self, service_queue: ServiceQueue, now: float) -> None:
+        blocked_routes: set[bytes] = set()
+        queued = service_queue.next_flow(now, blocked_routes)
+        while queued is not None:
             flow = queued.packet.flow
             assignment = self._flows.find_or_add(flow, now)
             self._assign(queued.packet, assignment, now)
-            if flow in self._queue and not assignment.excluded_agents:
-                # The flow excludes no agent, so none has capacity, and the
-                # later flows can't be assigned either.
-                return
+            if queued.has_left:
+                service_queue.charge(queued)
+            elif queued.route.allowed_regions:
+                # Agents of other regions may have capacity for other routes.
+                blocked_routes.add(queued.route.address)
+            elif self._is_passed_over(assignment, service_queue.name, now):
+                service_queue.set_aside(queued)
+            else:
+                # No agent has capacity for the later flows either.
+                break
+            queued = service_queue.next_flow(now, blocked_routes)
+        service_queue.restore()
+
+    def _is_passed_over(
+        self, assignment: Assignment, service: str, now: float
+    ) -> bool:
+        """Return whether only agents that a flow excludes have capacity."""
+        if not assignment.excluded_agents:
+            return False
+        selected = select_agent(
+            self._agent_table.of_service(service),
+            zone=self._zone,
+            now=now,
+            draw=self._draw,
+            policy=self._policy,
+        )
+        return bool(selected)
+
+    def _queue_unrouted(self, now: float) -> None:
+        """Queue flows by route that came before the first configuration."""
+        if not self._routes.are_loaded:
+            return
+        for queued in self._queue.list_unrouted():
+            packet = queued.packet
+            route = self._routes.table.find(service_address(packet.flow))
+            if route is None:
+                self._refuse_unrouted(packet)
+                continue
+            service = _service_of(route, packet.flow)
+            self._queue.add(
+                packet, route, service, opened_at=queued.opened_at, now=now
+            )
+
+    def _drop_abandoned(self, abandoned: QueuedFlow, now: float) -> None:
+        flow = abandoned.packet.flow
+        self._flows.remove(flow)
+        self._journal.count('flows-abandoned')
+        self._journal.log(
+            'BBF0739',
+            flow=format_flow(flow),
+            attempt=abandoned.packet.attempt,
+            waited_ms=round((now - abandoned.opened_at) * MS_PER_SECOND),
+        )
+
+    def _find_service_queue(self, flow: bytes) -> ServiceQueue | None:
+        route = self._routes.table.find(service_address(flow))
+        if route is None:
+            return None
+        return self._queue.find_service(_service_of(route, flow))
+
+    def _retract_assignment(self, flow: bytes) -> None:
+        service_queue = self._find_service_queue(flow)
+        if service_queue is not None:
+            service_queue.rate.retract()
 
     def _reassign_unanswered(
         self, packet: Packet, address: Address, now: float
@@ -205,6 +281,7 @@
         assignment = self._flows.find(packet.flow)
         if assignment is None or assignment.agent != address:
             return
+        self._retract_assignment(packet.flow)
         self._journal.count('offers-unanswered')
         self._journal.log(
             'BBF0740', flow=format_flow(packet.flow), agent=address[0]
@@ -214,19 +291,19 @@
             # Asked for a report at each tick until it sends one.
             view.suspect()
         assignment.exclude(address)
-        self._assign(packet, assignment, now)
+        self._assign_in_turn(packet, assignment, now)
 
     def _assign(
         self, packet: Packet, assignment: Assignment, now: float
     ) -> None:
         if not self._routes.are_loaded:
-            self._enqueue(packet, None, 'no-configuration', assignment)
+            self._enqueue(packet, None, 'no-configuration', assignment, now)
             return
         route = self._routes.table.find(service_address(packet.flow))
         if route is None:
             self._refuse_unrouted(packet)
             return
-        service = route.select_service(_hash_fraction(packet.flow))
+        service = _service_of(route, packet.flow)
         selected = select_agent(
             self._agent_table.of_service(service),
             zone=self._zone,
@@ -242,9 +319,12 @@
             if selected is NO_AGENT:
                 # When no agent is left, the excluded ones are allowed again.
                 assignment.excluded_agents.clear()
-            self._enqueue(packet, route, selected.name, assignment)
+            self._enqueue(packet, route, selected.name, assignment, now)
             return
         assignment.assign(selected.address)
+        service_queue = self._queue.find_service(service)
+        if service_queue is not None:
+            service_queue.rate.record(now)
         self._queue.remove(packet.flow)
         self._send_offer(packet, assignment, selected, now)
 
@@ -284,9 +364,13 @@
         route: Route | None,
         reason: str,
         assignment: Assignment,
+        now: float,
     ) -> None:
         already_queued = packet.flow in self._queue
-        if not self._queue.add(packet, route, assignment.opened_at):
+        service = None if route is None else _service_of(route, packet.flow)
+        if not self._queue.add(
+            packet, route, service, opened_at=assignment.opened_at, now=now
+        ):
             self._refuse(packet, 'waiting-room-full')
             return
         if already_queued:
@@ -315,6 +399,7 @@
         self._queue.remove(packet.flow)
         self._transport.reset_client(packet)
         self._journal.count('flows-refused')
+        self._journal.count(f'flows-refused-{reason}')
         self._journal.log(
             'BBF0703',
             flow=format_flow(packet.flow),
@@ -323,7 +408,7 @@
         )
 
 
-def _hash_fraction(flow: bytes) -> float:
-    # A fraction from 0 to 1 that selects the service of the route. It is the
-    # same for all retransmissions of an opening packet and at every balancer.
-    return zlib.crc32(flow) / _HASH_RANGE
+def _service_of(route: Route, flow: bytes) -> str:
+    # The same for all retransmissions of an opening packet and at every
+    # balancer.
+    return route.select_service(zlib.crc32(flow) / _HASH_RANGE)
--- a/bluebellfold/relay/callers/flow_queue.py
+++ b/bluebellfold/relay/callers/flow_queue.py
@@ -7,80 +7,37 @@
 an upstream rejected the flow instead, the client would use up one of its
 retries.
 
-Within a priority the newest flow is assigned first. Under overload, assigning
-the oldest first would delay every flow until its client is about to give up,
-and upstreams would work on requests whose clients have left.
+The order of assignment is decided for each service (see ``service_queue``).
 """
 
-from collections.abc import Iterable
-from operator import attrgetter
+import heapq
 
-from bluebellfold.core import Packet, Record, Route, read_only
+from bluebellfold.core import Packet, Route
+from bluebellfold.relay.callers.queued_flow import QueuedFlow
+from bluebellfold.relay.callers.service_queue import ServiceQueue
 
-# A client gives up 1.4 s after its first opening packet. If the flow were
-# assigned in the last 0.1 s, the reply would not reach the client in time.
-QUEUE_TIMEOUT_SECONDS = 1.3
 # Limits memory: each queued flow holds a packet of 32 bytes.
 MAX_QUEUED_FLOWS = 10_000
-# When a client sends each attempt of its opening packet, from the first on.
-RETRANSMIT_SECONDS = (0, 0.2, 0.6)
-# Allowed delay of a retransmission: a round trip through another zone and
-# timer inaccuracy.
-RETRANSMIT_SLACK_SECONDS = 0.15
-
-
-class QueuedFlow(Record):
-    """Hold the newest opening packet of a queued flow.
-
-    ``route`` is None while no configuration is known. ``opened_at`` is when
-    the client sent its first opening packet.
-    """
-
-    __slots__ = ('_opened_at', '_packet', '_route')
-
-    packet: Packet = read_only('_packet')
-    route: Route | None = read_only('_route')
-    opened_at: float = read_only('_opened_at')
-
-    def __init__(
-        self, *, packet: Packet, route: Route | None, opened_at: float
-    ) -> None:
-        self._packet = packet
-        self._route = route
-        self._opened_at = opened_at
-
-    @property
-    def sort_key(self) -> tuple[int, float]:
-        """Return the key that orders by priority, then the newest first."""
-        priority = 0 if self._route is None else self._route.priority
-        return (priority, -self._opened_at)
-
-    def is_abandoned(self, now: float) -> bool:
-        """Return whether the client's next retransmission is overdue."""
-        next_attempt = self._packet.attempt + 1
-        if next_attempt >= len(RETRANSMIT_SECONDS):
-            return False
-        due = (
-            self._opened_at
-            + RETRANSMIT_SECONDS[next_attempt]
-            + RETRANSMIT_SLACK_SECONDS
-        )
-        return now > due
-
-    def matches_service(self, service: str) -> bool:
-        """Return whether an upstream of the service may accept the flow."""
-        if self._route is None:
-            return True
-        return any(share.service == service for share in self._route.shares)
 
 
 class FlowQueue:
-    """Hold queued flows, ordered by priority and then the newest first."""
+    """Hold queued flows by their services."""
 
-    __slots__ = ('_by_flow',)
+    __slots__ = (
+        '_by_flow',
+        '_by_service',
+        '_checks',
+        '_checks_added',
+        '_unrouted',
+    )
 
     def __init__(self) -> None:
         self._by_flow: dict[bytes, QueuedFlow] = {}
+        self._by_service: dict[str, ServiceQueue] = {}
+        self._unrouted: dict[bytes, QueuedFlow] = {}
+        # When to check a flow for its deadline and for a retransmission.
+        self._checks: list[tuple[float, int, QueuedFlow]] = []
+        self._checks_added = 0
 
     def __len__(self) -> int:
         """Return the number of queued flows."""
@@ -91,65 +48,90 @@
         return flow in self._by_flow
 
     @property
-    def services(self) -> set[str]:
-        """Return the services on the routes of queued flows."""
-        routes = [queued.route for queued in self._by_flow.values()]
-        return {
-            share.service
-            for route in routes
-            if route is not None
-            for share in route.shares
-        }
+    def services(self) -> tuple[ServiceQueue, ...]:
+        """Return the queues of all services that have not drained."""
+        return tuple(self._by_service.values())
+
+    def find_service(self, service: str) -> ServiceQueue | None:
+        """Return the queue of a service, None if it has drained."""
+        return self._by_service.get(service)
 
     def add(
-        self, packet: Packet, route: Route | None, opened_at: float
+        self,
+        packet: Packet,
+        route: Route | None,
+        service: str | None,
+        *,
+        opened_at: float,
+        now: float,
     ) -> bool:
         """Queue a flow, or replace its packet if it is queued already.
 
+        ``route`` and ``service`` are None while no configuration is known.
         Return false if the queue is full.
         """
-        already_queued = packet.flow in self._by_flow
-        if not already_queued and len(self._by_flow) >= MAX_QUEUED_FLOWS:
+        queued = self._by_flow.get(packet.flow)
+        if queued is None and len(self._by_flow) >= MAX_QUEUED_FLOWS:
             return False
-        self._by_flow[packet.flow] = QueuedFlow(
-            packet=packet,
-            route=route,
-            opened_at=opened_at,
+        added = QueuedFlow(
+            packet=packet, route=route, service=service, opened_at=opened_at
         )
+        if queued is not None and queued.has_same_place(added):
+            if packet.attempt > queued.packet.attempt:
+                queued.update_packet(packet)
+                self._schedule_check(queued)
+            return True
+        self.remove(packet.flow)
+        self._by_flow[packet.flow] = added
+        self._schedule_check(added)
+        if service is None:
+            self._unrouted[packet.flow] = added
+            return True
+        if service not in self._by_service:
+            self._by_service[service] = ServiceQueue(name=service, now=now)
+        self._by_service[service].add(added)
         return True
 
     def remove(self, flow: bytes) -> None:
         """Remove a flow, if it is queued."""
-        self._by_flow.pop(flow, None)
-
-    def list_for_service(self, service: str) -> list[QueuedFlow]:
-        """Return the flows queued for a service, in order of assignment."""
-        queued_flows = [
-            queued
-            for queued in self._by_flow.values()
-            if queued.matches_service(service)
+        queued = self._by_flow.pop(flow, None)
+        if queued is None:
+            return
+        queued.mark_removed()
+        if queued.service is None:
+            self._unrouted.pop(flow)
+            return
+        self._by_service[queued.service].remove(queued)
+
+    def list_unrouted(self) -> list[QueuedFlow]:
+        """Return the flows that were queued before the configuration."""
+        return list(self._unrouted.values())
+
+    def pop_overdue(self, now: float) -> list[QueuedFlow]:
+        """Remove and return the flows that have expired or are abandoned."""
+        overdue = []
+        while self._checks and self._checks[0][0] <= now:
+            queued = heapq.heappop(self._checks)[-1]
+            if queued.has_left:
+                continue
+            if queued.is_expired(now) or queued.is_abandoned(now):
+                self.remove(queued.packet.flow)
+                overdue.append(queued)
+        return overdue
+
+    def pop_drained(self, now: float) -> list[ServiceQueue]:
+        """Remove and return the queues of services that have drained."""
+        drained = [
+            service_queue
+            for service_queue in self._by_service.values()
+            if service_queue.detect_drained(now)
         ]
-        queued_flows.sort(key=attrgetter('sort_key'))
-        return queued_flows
-
-    def pop_expired(self, now: float) -> list[QueuedFlow]:
-        """Remove and return the flows whose queue timeout has passed."""
-        return self._pop_all(
-            queued
-            for queued in self._by_flow.values()
-            if now - queued.opened_at >= QUEUE_TIMEOUT_SECONDS
-        )
-
-    def pop_abandoned(self, now: float) -> list[QueuedFlow]:
-        """Remove and return the flows whose clients stopped retransmitting."""
-        return self._pop_all(
-            queued
-            for queued in self._by_flow.values()
-            if queued.is_abandoned(now)
+        for service_queue in drained:
+            self._by_service.pop(service_queue.name)
+        return drained
+
+    def _schedule_check(self, queued: QueuedFlow) -> None:
+        self._checks_added += 1
+        heapq.heappush(
+            self._checks, (queued.next_check, self._checks_added, queued)
         )
-
-    def _pop_all(self, matching: Iterable[QueuedFlow]) -> list[QueuedFlow]:
-        popped = list(matching)
-        for queued in popped:
-            self._by_flow.pop(queued.packet.flow)
-        return popped
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 from bluebellfold.core import NO_ROUTES
 from bluebellfold.relay.agents import (
+    DECLINED_DRAINING,
     DECLINED_FULL,
     DOWN,
     DRAINING,
@@ -374,3 +375,95 @@
     assert not balancer.transport.pop_messages(Offer)
     balancer.receive_message(FIRST, report_of(in_flight=4, sequence=2))
     assert len(balancer.transport.pop_messages(Offer)) == 1
+
+
+def contended_balancer(*clients, **options):
+    """Return a balancer whose service has been full for a while."""
+    balancer = balancer_with(
+        report_of(in_flight=8), report_of(in_flight=8), **options
+    )
+    for client in clients:
+        balancer.receive_packet(opening_packet(client=client))
+    for attempt, sequence in ((1, 2), (2, 3)):
+        balancer.advance(0.2)
+        balancer.receive_message(
+            FIRST, report_of(in_flight=8, sequence=sequence)
+        )
+        for client in clients:
+            balancer.receive_packet(
+                opening_packet(client=client, attempt=attempt)
+            )
+    balancer.transport.sent.clear()
+    return balancer
+
+
+def test_clients_share_the_capacity_of_a_contended_service():
+    # One client's newer flows would take the places of all others.
+    waiting, heavy = ('100.64.0.1', 1), '100.64.0.2'
+    balancer = contended_balancer(
+        waiting, *[(heavy, 1000 + number) for number in range(8)]
+    )
+    balancer.receive_message(FIRST, report_of(in_flight=1, sequence=4))
+    offered = [
+        offer.packet.flow for _, offer in balancer.transport.pop_messages(Offer)
+    ]
+    assert len(offered) == 5
+    assert opening_packet(client=waiting).flow in offered
+
+
+def test_new_flow_takes_its_turn_when_the_service_is_contended():
+    # It would get the capacity that the end of a backoff reveals, before the
+    # urgent flows that wait already.
+    low = ('198.18.0.1', 81)
+    routes = table_of(route_to(priority=0), route_to(priority=2, address=low))
+    waiting = ('100.64.0.1', 1)
+    balancer = contended_balancer(waiting, routes=routes)
+    view = balancer.relay._agent_table.find(FIRST)
+    view.back_off_until(balancer.now + 0.005)
+    balancer.receive_message(FIRST, report_of(in_flight=5, sequence=4))
+    assert not balancer.transport.pop_messages(Offer)
+    balancer.clock.advance(0.01)
+    balancer.receive_packet(client_packet(destination=low, flags=OPEN))
+    _, offer = single(balancer.transport.pop_messages(Offer))
+    assert offer.packet.flow == opening_packet(client=waiting).flow
+
+
+def test_declined_flow_takes_its_turn_when_the_service_is_contended():
+    # It would be offered to each agent in turn, before the urgent flows that
+    # wait already.
+    low = ('198.18.0.1', 81)
+    routes = table_of(route_to(priority=0), route_to(priority=2, address=low))
+    waiting = ('100.64.0.1', 1)
+    balancer = contended_balancer(waiting, routes=routes)
+    balancer.relay._agent_table.find(SECOND).back_off_until(balancer.now + 1)
+    balancer.receive_message(SECOND, report_of(in_flight=5, sequence=4))
+    balancer.relay._agent_table.find(SECOND).back_off_until(balancer.now)
+    declined = client_packet(destination=low, flags=OPEN)
+    balancer.receive_message(
+        FIRST, Declined(packet=declined, reason=DECLINED_FULL)
+    )
+    address, offer = single(balancer.transport.pop_messages(Offer))
+    assert address == SECOND
+    assert offer.packet.flow == opening_packet(client=waiting).flow
+
+
+def test_queued_flow_is_assigned_though_the_next_one_excludes_the_agent():
+    # A flow that only unsuitable agents could take does not hold up others.
+    balancer = balancer_with(report_of(), report_of(in_flight=8))
+    declined = opening_packet(client=('100.64.0.9', 2))
+    balancer.receive_packet(declined)
+    balancer.receive_message(FIRST, report_of(in_flight=8, sequence=2))
+    balancer.receive_message(
+        FIRST, Declined(packet=declined, reason=DECLINED_DRAINING)
+    )
+    older = opening_packet(client=('100.64.0.9', 1), attempt=1)
+    balancer.receive_packet(older)
+    balancer.transport.sent.clear()
+    balancer.receive_message(
+        FIRST, report_of(in_flight=5, sequence=3, offers_seen=1)
+    )
+    _, offer = single(balancer.transport.pop_messages(Offer))
+    assert offer.packet.flow == older.flow
+    balancer.receive_message(SECOND, report_of(in_flight=5, sequence=3))
+    _, offer = single(balancer.transport.pop_messages(Offer))
+    assert offer.packet.flow == declined.flow
