Refuse queued flows that cannot be assigned in time

Under overload each flow in excess waited for 1.3 s and was then reset, though it was clear earlier that it would not be assigned.

The order of assignment is now run ahead at each tick with the rate of the last 1.3 s. Flows whose deadline passes before their turn are refused with the reason not-in-time: first those of routes beyond their share, by the least time left, then those of the lowest priority. A flow that an agent or another balancer may have accepted is not refused.

--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -19,6 +19,7 @@
 )
 from bluebellfold.relay.callers.agent_follower import AgentFollower
 from bluebellfold.relay.callers.contention import ContentionMonitor
+from bluebellfold.relay.callers.feasibility import NOT_IN_TIME
 from bluebellfold.relay.callers.flow_cache import Assignment, FlowCache
 from bluebellfold.relay.callers.flow_queue import FlowQueue
 from bluebellfold.relay.callers.pending_offers import PendingOffers
@@ -122,7 +123,7 @@
             if reachable and packet.attempt < LAST_ATTEMPT:
                 self._send_offer(packet, assignment, view, now)
                 return
-            assignment.exclude(agent)
+            assignment.give_up_offer(agent)
         self._assign_in_turn(packet, assignment, now)
 
     def mark_established(self, packet: Packet) -> None:
@@ -186,6 +187,7 @@
         self._contention.observe(self._queue, now)
         for service_queue in self._queue.services:
             self._assign_in_order(service_queue, now)
+            self._refuse_unservable(service_queue, now)
         for offer in self._pending_offers.pop_unanswered(
             self._agent_table, now
         ):
@@ -238,6 +240,23 @@
         )
         return bool(selected)
 
+    def _refuse_unservable(
+        self, service_queue: ServiceQueue, now: float
+    ) -> None:
+        waiting = len(service_queue)
+        for queued in service_queue.select_refused(now):
+            assignment = self._flows.find(queued.packet.flow)
+            if assignment is None or assignment.may_have_run:
+                # A reset would be untrue if an agent has accepted the flow.
+                continue
+            self._refuse(
+                queued.packet,
+                NOT_IN_TIME.name,
+                waited_ms=round((now - queued.opened_at) * MS_PER_SECOND),
+                waiting=waiting,
+                flows_per_second=round(service_queue.rate.mean(now)),
+            )
+
     def _queue_unrouted(self, now: float) -> None:
         """Queue flows by route that came before the first configuration."""
         if not self._routes.are_loaded:
@@ -290,7 +309,7 @@
         if view is not None:
             # Asked for a report at each tick until it sends one.
             view.suspect()
-        assignment.exclude(address)
+        assignment.give_up_offer(address)
         self._assign_in_turn(packet, assignment, now)
 
     def _assign(
@@ -394,7 +413,7 @@
         self._queue.remove(packet.flow)
         self._journal.count('flows-unrouted')
 
-    def _refuse(self, packet: Packet, reason: str) -> None:
+    def _refuse(self, packet: Packet, reason: str, **inputs: float) -> None:
         self._flows.remove(packet.flow)
         self._queue.remove(packet.flow)
         self._transport.reset_client(packet)
@@ -405,6 +424,7 @@
             flow=format_flow(packet.flow),
             reason=reason,
             version=self._routes.version,
+            **inputs,
         )
 
 
--- a/bluebellfold/relay/callers/contention.py
+++ b/bluebellfold/relay/callers/contention.py
@@ -10,22 +10,31 @@
 from bluebellfold.relay.callers.service_queue import ServiceQueue
 from bluebellfold.relay.collectors import Journal
 
+# Queues are observed each 0.05 s. After a gap of this length the process or its
+# VM stood still, and what it assigned meanwhile shows no lack of capacity.
+MAX_GAP_SECONDS = 0.2
+
 
 class ContentionMonitor:
     """Tell the queue of each service what its agents and time have changed."""
 
-    __slots__ = ('_agent_table', '_journal')
+    __slots__ = ('_agent_table', '_journal', '_observed_at')
 
     def __init__(self, *, agent_table: AgentTable, journal: Journal) -> None:
         self._agent_table = agent_table
         self._journal = journal
+        self._observed_at = float(0)
 
     def observe(self, queue: FlowQueue, now: float) -> None:
         """Update the queues of all services, and log what has changed."""
         for drained in queue.pop_drained(now):
             if drained.is_contended:
                 self._log_relieved(drained.name)
+        has_paused = now - self._observed_at > MAX_GAP_SECONDS
+        self._observed_at = now
         for service_queue in queue.services:
+            if has_paused:
+                service_queue.rate.restart(now)
             self._observe_service(service_queue, now)
 
     def _observe_service(self, service_queue: ServiceQueue, now: float) -> None:
--- a/bluebellfold/relay/callers/flow_cache.py
+++ b/bluebellfold/relay/callers/flow_cache.py
@@ -30,6 +30,7 @@
         '_has_ended',
         '_is_established',
         '_last_used_at',
+        '_may_have_run',
         '_opened_at',
         '_opening_sequence',
         '_registered_at',
@@ -44,6 +45,7 @@
         self._declines = 0
         self._is_established = False
         self._has_ended = False
+        self._may_have_run = False
         self._registered_at: float | None = None
 
     @property
@@ -56,6 +58,11 @@
         """Return whether the client has received a packet of an upstream."""
         return self._is_established
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an agent may have accepted the flow unnoticed."""
+        return self._may_have_run
+
     @property
     def opened_at(self) -> float:
         """Return when the client sent its first opening packet."""
@@ -92,6 +99,11 @@
         if self._agent == agent:
             self._agent = None
 
+    def give_up_offer(self, agent: Address) -> None:
+        """Exclude an agent that may have accepted the flow unnoticed."""
+        self._may_have_run = True
+        self.exclude(agent)
+
     def record_opening(self, sequence: int, opened_at: float) -> None:
         """Record an opening packet.
 
@@ -105,6 +117,7 @@
             self._declines = 0
             self._is_established = False
             self._has_ended = False
+            self._may_have_run = False
             self._registered_at = None
             self._excluded_agents.clear()
 
--- a/bluebellfold/relay/callers/queued_flow.py
+++ b/bluebellfold/relay/callers/queued_flow.py
@@ -133,6 +133,14 @@
         due = self._retransmission_due
         return due is not None and now >= due + RETRANSMIT_SLACK_SECONDS
 
+    def awaits_retransmission(self, now: float) -> bool:
+        """Return whether the client has sent a packet that is not here yet.
+
+        Another balancer may have received it and assigned the flow.
+        """
+        due = self._retransmission_due
+        return due is not None and now >= due
+
     def update_packet(self, packet: Packet) -> None:
         """Replace the opening packet by a retransmission of it."""
         self._packet = packet
--- a/bluebellfold/relay/callers/route_queue.py
+++ b/bluebellfold/relay/callers/route_queue.py
@@ -9,6 +9,7 @@
 """
 
 import heapq
+from collections.abc import Iterator
 from typing import Generic, Protocol, TypeVar
 
 from bluebellfold.core import Route
@@ -54,6 +55,10 @@
         """Return the number of current entries."""
         return self._size
 
+    def __iter__(self) -> Iterator[Ordered]:
+        """Iterate over what is held, the newest first."""
+        return (entry[-1] for entry in sorted(self._current_entries()))
+
     def add(self, ordered: Ordered) -> None:
         """Add what has just taken a number."""
         self._size += 1
@@ -223,6 +228,16 @@
         self._start_round()
         return self._clients_in_turn.peek().flows.peek()
 
+    def list_in_turn(self, now: float) -> list[QueuedFlow]:
+        """Return all flows in the order in which they would be assigned."""
+        ranked = [
+            (_rank(queued, turn, now), queued)
+            for client in self._clients.values()
+            for turn, queued in enumerate(client.flows)
+        ]
+        ranked.sort()
+        return [entry[-1] for entry in ranked]
+
     def _reorder(self, client: ClientQueue) -> None:
         if client.number != _NO_NUMBER:
             client.drop_number()
@@ -241,3 +256,12 @@
 
 def _is_obsolete(entry: tuple[float, int, Numbered]) -> bool:
     return entry[1] != entry[-1].number
+
+
+def _rank(
+    queued: QueuedFlow, turn: int, now: float
+) -> tuple[bool, int, float, int]:
+    # Rounds are only for flows that can meet their target.
+    is_late = not queued.can_meet_target(now)
+    round_number = 0 if is_late else turn // TURNS_PER_ROUND
+    return (is_late, round_number, -queued.opened_at, queued.number)
--- a/bluebellfold/relay/callers/service_queue.py
+++ b/bluebellfold/relay/callers/service_queue.py
@@ -3,7 +3,7 @@
 As long as the queue drains within the target latency, as after a brief loss of
 upstreams, the order does not matter to clients, and urgent flows go first. If
 it does not drain, the service is contended: its routes and clients then get
-shares.
+shares, and flows that cannot be assigned in time are refused.
 """
 
 from collections.abc import Collection
@@ -11,6 +11,7 @@
 from bluebellfold.core import Sentinel
 from bluebellfold.relay.callers.assignment_rate import AssignmentRate
 from bluebellfold.relay.callers.fair_queue import FairQueue
+from bluebellfold.relay.callers.feasibility import select_refused
 from bluebellfold.relay.callers.pending_offers import (
     OFFER_TIMEOUT_SECONDS,
 )
@@ -19,6 +20,14 @@
 # For services whose routes have no target latency. Clients notice a delay of a
 # few tenths of a second.
 DEFAULT_TARGET_SECONDS = 0.3
+# No flow is refused for so long after all upstreams were away. A client tries
+# three flows for 1.4 s each. While the flows of the outage are worked off, a
+# refusal would only use up the client's tries sooner.
+GRACE_SECONDS = 4.2
+# Limits the cost of predictions: one takes 2 to 4 us per queued flow, and a
+# queue of 1,000 flows is checked at each tick, one of 10,000 each 0.5 s.
+CHECKED_FLOWS_PER_SECOND = 20_000
+
 CONTENDED = Sentinel(
     name='contended',
     reason='flows of the service already wait for an upstream',
@@ -39,6 +48,7 @@
         '_name',
         '_rate',
         '_ready_agents',
+        '_refuses_from',
         '_set_aside',
         '_started_at',
     )
@@ -49,6 +59,7 @@
         self._rate = AssignmentRate(now=now)
         self._set_aside: list[QueuedFlow] = []
         self._started_at = now
+        self._refuses_from = now
         self._is_contended = False
         self._ready_agents = 0
         self._drained_at: float | None = None
@@ -119,6 +130,7 @@
         if not ready_agents:
             self._is_contended = False
             self._started_at = now
+            self._refuses_from = now + GRACE_SECONDS
         if not ready_agents or ready_agents > self._ready_agents:
             self._rate.restart(now)
         self._ready_agents = ready_agents
@@ -143,6 +155,18 @@
         self._is_contended = now - self._started_at > self._target_seconds
         return self._is_contended
 
+    def select_refused(self, now: float) -> list[QueuedFlow]:
+        """Return the flows to refuse now, none without a measured rate."""
+        flows_per_second = self._rate.upper_bound(now)
+        if not self._is_contended or not flows_per_second:
+            return []
+        if now < self._refuses_from:
+            return []
+        self._refuses_from = now + len(self) / CHECKED_FLOWS_PER_SECOND
+        return select_refused(
+            self._flows, flows_per_second=flows_per_second, now=now
+        )
+
     @property
     def _target_seconds(self) -> float:
         targets = [
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -1,5 +1,7 @@
 """Test how a balancer assigns and queues new flows."""
 
+import pytest
+
 from bluebellfold.core import NO_ROUTES
 from bluebellfold.relay.agents import (
     DECLINED_DRAINING,
@@ -12,6 +14,7 @@
     Warmup,
 )
 from bluebellfold.relay.callers.admission import NO_IN_FLIGHT_LIMIT
+from bluebellfold.relay.callers.service_queue import ServiceQueue
 from bluebellfold.relay.callers.tests.harness import (
     DATA,
     FIRST,
@@ -447,6 +450,43 @@
     assert offer.packet.flow == opening_packet(client=waiting).flow
 
 
+def test_measured_rate_is_forgotten_after_a_pause():
+    # A frozen VM assigns nothing, and flows that could be served would be
+    # refused by the low rate.
+    balancer = contended_balancer(('100.64.0.1', 1))
+    service_queue = single(balancer.relay._admission._queue.services)
+    for sequence in range(4, 20):
+        balancer.receive_message(
+            FIRST, report_of(in_flight=8, sequence=sequence)
+        )
+        service_queue.rate.record(balancer.now)
+        service_queue.rate.record(balancer.now)
+        balancer.receive_packet(opening_packet(client=('100.64.0.1', sequence)))
+        balancer.advance(0.1)
+    assert service_queue.rate.upper_bound(balancer.now)
+    balancer.clock.advance(0.3)
+    balancer.relay.tick(balancer.now)
+    assert not service_queue.rate.upper_bound(balancer.now)
+
+
+@pytest.mark.parametrize('offered', (True, False))
+def test_flow_that_an_agent_may_have_accepted_is_not_refused(
+    monkeypatch, offered
+):
+    # The agent did not reply in time, but its upstream may run the request: a
+    # reset would tell the client that it has not run.
+    monkeypatch.setattr(
+        ServiceQueue,
+        'select_refused',
+        lambda queue, now: [queue.next_flow(now, ())],
+    )
+    balancer = balancer_with(report_of(in_flight=0 if offered else 8))
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.15)
+    assert balancer.relay.queued_flows == offered
+    assert len(balancer.transport.resets) == (not offered)
+
+
 def test_queued_flow_is_assigned_though_the_next_one_excludes_the_agent():
     # A flow that only unsuitable agents could take does not hold up others.
     balancer = balancer_with(report_of(), report_of(in_flight=8))
