Keep flows that may have run out of the number refused in a tick

Flows whose offers an agent left unanswered are not refused, but counted toward the fifth of the flows in excess that a tick refuses. After the loss of an agent, its flows are the oldest, and none would have been refused until they expired. They are now left out before the fifth is taken.

--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -244,11 +244,7 @@
         self, service_queue: ServiceQueue, now: float
     ) -> None:
         waiting = len(service_queue)
-        for queued in service_queue.select_refused(now):
-            assignment = self._flows.find(queued.packet.flow)
-            if assignment is None or assignment.may_have_run:
-                # A reset would be untrue if an agent has accepted the flow.
-                continue
+        for queued in service_queue.select_refused(now, self._has_not_run):
             self._refuse(
                 queued.packet,
                 NOT_IN_TIME.name,
@@ -257,6 +253,11 @@
                 flows_per_second=round(service_queue.rate.mean(now)),
             )
 
+    def _has_not_run(self, queued: QueuedFlow) -> bool:
+        # A reset would be untrue if an agent has accepted the flow.
+        assignment = self._flows.find(queued.packet.flow)
+        return assignment is not None and not assignment.may_have_run
+
     def _queue_unrouted(self, now: float) -> None:
         """Queue flows by route that came before the first configuration."""
         if not self._routes.are_loaded:
--- a/bluebellfold/relay/callers/feasibility.py
+++ b/bluebellfold/relay/callers/feasibility.py
@@ -8,7 +8,7 @@
 
 import heapq
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from bluebellfold.core import Sentinel
 from bluebellfold.relay.callers.fair_queue import FairQueue, by_share
@@ -31,12 +31,17 @@
 
 
 def select_refused(
-    queue: FairQueue, *, flows_per_second: float, now: float
+    queue: FairQueue,
+    *,
+    flows_per_second: float,
+    now: float,
+    has_not_run: Callable[[QueuedFlow], bool],
 ) -> list[QueuedFlow]:
     """Return the flows of a contended service to refuse now.
 
     These are flows of routes that exceed their share, by the least time left,
-    then those of the lowest priority.
+    then those of the lowest priority. Only flows for which ``has_not_run`` is
+    true are refused.
     """
     unservable = list_unservable(
         queue, flows_per_second=flows_per_second, now=now
@@ -48,7 +53,7 @@
         (_refusal_key(queued, exceeding), queued)
         for queued in unservable
         # Another balancer may have assigned the flow: a reset might be untrue.
-        if not queued.awaits_retransmission(now)
+        if not queued.awaits_retransmission(now) and has_not_run(queued)
     ]
     refusable.sort(key=_key)
     most = math.ceil(len(unservable) * REFUSED_SHARE)
--- a/bluebellfold/relay/callers/service_queue.py
+++ b/bluebellfold/relay/callers/service_queue.py
@@ -6,7 +6,7 @@
 shares, and flows that cannot be assigned in time are refused.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from bluebellfold.core import Sentinel
 from bluebellfold.relay.callers.assignment_rate import AssignmentRate
@@ -155,8 +155,13 @@
         self._is_contended = now - self._started_at > self._target_seconds
         return self._is_contended
 
-    def select_refused(self, now: float) -> list[QueuedFlow]:
-        """Return the flows to refuse now, none without a measured rate."""
+    def select_refused(
+        self, now: float, has_not_run: Callable[[QueuedFlow], bool]
+    ) -> list[QueuedFlow]:
+        """Return the flows to refuse now, none without a measured rate.
+
+        Only flows for which ``has_not_run`` is true are refused.
+        """
         flows_per_second = self._rate.upper_bound(now)
         if not self._is_contended or not flows_per_second:
             return []
@@ -164,7 +169,10 @@
             return []
         self._refuses_from = now + len(self) / CHECKED_FLOWS_PER_SECOND
         return select_refused(
-            self._flows, flows_per_second=flows_per_second, now=now
+            self._flows,
+            flows_per_second=flows_per_second,
+            now=now,
+            has_not_run=has_not_run,
         )
 
     @property
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -478,7 +478,9 @@
     monkeypatch.setattr(
         ServiceQueue,
         'select_refused',
-        lambda queue, now: [queue.next_flow(now, ())],
+        lambda queue, now, has_not_run: list(
+            filter(has_not_run, [queue.next_flow(now, ())])
+        ),
     )
     balancer = balancer_with(report_of(in_flight=0 if offered else 8))
     balancer.receive_packet(opening_packet())
--- a/bluebellfold/relay/callers/tests/test_feasibility.py
+++ b/bluebellfold/relay/callers/tests/test_feasibility.py
@@ -29,8 +29,17 @@
     return list_unservable(filler.queue, flows_per_second=RATE, now=NOW)
 
 
-def refused(filler):
-    return select_refused(filler.queue, flows_per_second=RATE, now=NOW)
+def has_not_run(queued):
+    return True
+
+
+def refused(filler, has_not_run=has_not_run):
+    return select_refused(
+        filler.queue,
+        flows_per_second=RATE,
+        now=NOW,
+        has_not_run=has_not_run,
+    )
 
 
 def test_flows_that_can_be_assigned_in_time_are_servable():
@@ -73,6 +82,16 @@
     assert len(refused(filler)) == math.ceil(50 * REFUSED_SHARE)
 
 
+def test_flows_that_may_have_run_leave_their_refusals_to_others():
+    # The offers to a lost agent are the oldest, and a reset would be untrue.
+    filler = Filler()
+    in_doubt = filler.add(NORMAL, waited=0.19)
+    filler.add(NORMAL, times=SERVABLE + 1)
+    known = refused(filler, lambda queued: queued is not in_doubt)
+    assert len(known) == 1
+    assert in_doubt not in known
+
+
 def test_flow_with_the_least_time_left_is_refused_first():
     filler = Filler()
     filler.add(NORMAL, times=SERVABLE + 2)
@@ -121,14 +140,14 @@
 
 
 def test_flows_are_refused_only_with_a_measured_rate():
-    assert contended_queue(ready_agents=2).select_refused(NOW)
+    assert contended_queue(ready_agents=2).select_refused(NOW, has_not_run)
     # Fewer agents serve less, which the rate will show.
-    assert contended_queue(ready_agents=1).select_refused(NOW)
+    assert contended_queue(ready_agents=1).select_refused(NOW, has_not_run)
 
 
 def test_no_flow_is_refused_when_a_part_of_the_upstreams_returns():
     # The rate was measured with fewer upstreams.
-    assert not contended_queue(ready_agents=3).select_refused(NOW)
+    assert not contended_queue(ready_agents=3).select_refused(NOW, has_not_run)
 
 
 def test_no_flow_is_refused_within_the_grace_time_of_an_outage():
@@ -141,8 +160,8 @@
     assert queue.detect_contention(before_end)
     for queued in flows_of(200, opened_at=before_end):
         queue.add(queued)
-    assert not queue.select_refused(before_end)
-    assert queue.select_refused(NOW + GRACE_SECONDS)
+    assert not queue.select_refused(before_end, has_not_run)
+    assert queue.select_refused(NOW + GRACE_SECONDS, has_not_run)
 
 
 def test_long_queue_is_checked_less_often():
@@ -150,6 +169,6 @@
     queue = contended_queue(ready_agents=2)
     for queued in flows_of(3000):
         queue.add(queued)
-    assert queue.select_refused(NOW)
-    assert not queue.select_refused(NOW + 0.1)
-    assert queue.select_refused(NOW + 0.19)
+    assert queue.select_refused(NOW, has_not_run)
+    assert not queue.select_refused(NOW + 0.1, has_not_run)
+    assert queue.select_refused(NOW + 0.19, has_not_run)
