--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -474,3 +474,15 @@
     meaning='the object of an evacuation names no zone and is ignored',
     remedy='remove the object named in the log line',
 )
+register(
+    number='BBF0751',
+    level=logging.WARNING,
+    meaning='flows of a service wait too long: its routes now get shares',
+    remedy='add upstreams if it lasts; docs/OPERATIONS.md names the cause',
+)
+register(
+    number='BBF0752',
+    level=logging.INFO,
+    meaning='the queued flows of a service no longer wait too long',
+    remedy=NO_REMEDY,
+)
--- a/bluebellfold/relay/callers/flow_cache.py
+++ b/bluebellfold/relay/callers/flow_cache.py
@@ -25,12 +25,12 @@
 
     __slots__ = (
         '_agent',
-        '_awaits_answer',
         '_declines',
         '_excluded_agents',
         '_has_ended',
         '_is_established',
         '_last_used_at',
+        '_may_have_run',
         '_opened_at',
         '_opening_sequence',
         '_registered_at',
@@ -43,9 +43,9 @@
         self._opened_at = now
         self._opening_sequence: int | None = None
         self._declines = 0
-        self._awaits_answer = False
         self._is_established = False
         self._has_ended = False
+        self._may_have_run = False
         self._registered_at: float | None = None
 
     @property
@@ -59,13 +59,12 @@
         return self._is_established
 
     @property
-    def awaits_answer(self) -> bool:
-        """Return whether the client may have received an answer since.
+    def may_have_run(self) -> bool:
+        """Return whether an agent may have accepted the flow unnoticed.
 
-        An agent may have opened the flow without this balancer hearing of it.
-        The client's next opening packet would show that it had no answer.
+        The client's next opening packet shows that it has had no answer.
         """
-        return self._awaits_answer
+        return self._may_have_run
 
     @property
     def opened_at(self) -> float:
@@ -104,8 +103,13 @@
             self._agent = None
 
     def expect_answer(self) -> None:
-        """Record that an upstream may have answered the opening packet."""
-        self._awaits_answer = True
+        """Record that an agent may have accepted the flow unnoticed."""
+        self._may_have_run = True
+
+    def give_up_offer(self, agent: Address) -> None:
+        """Exclude an agent that may have accepted the flow unnoticed."""
+        self.expect_answer()
+        self.exclude(agent)
 
     def record_opening(self, sequence: int, opened_at: float) -> None:
         """Record an opening packet.
@@ -113,7 +117,7 @@
         Another sequence number than before means that the client has reused
         its port for a new flow.
         """
-        self._awaits_answer = False
+        self._may_have_run = False
         if self._opening_sequence != sequence:
             self._opening_sequence = sequence
             self._opened_at = opened_at
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -243,7 +243,7 @@
                 removed=list(change.removed),
                 revision=revision,
             )
-            self._admission.refuse_unservable(now)
+            self._admission.refuse_ineligible(now)
 
     def update_evacuations(
         self, zones: frozenset[str], now: float, *, revision: int
@@ -399,7 +399,7 @@
     def _apply_evacuations(self, now: float) -> None:
         # The agents that this balancer follows learn it within a tick.
         self._follower.renew_at_once(now)
-        self._admission.refuse_unservable(now)
+        self._admission.refuse_ineligible(now)
 
     def _log_evacuation(self, zone: str, *, source: str) -> None:
         evacuation = self._evacuations.find(zone)
