Probe the upstreams of uncertain agents in stages

Upstreams of the flow's service in the balancer's zone are now probed first, then the others of the service, then all, 0.04 s apart. The new tests fail on the old order.

--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -7,7 +7,7 @@
 only after every agent that is alive has denied it, or many presume it absent.
 """
 
-from bluebellfold.core import Packet, format_flow
+from bluebellfold.core import Packet, format_flow, service_address
 from bluebellfold.relay.agents import (
     Address,
     AgentTable,
@@ -24,7 +24,9 @@
 from bluebellfold.relay.callers.flow_cache import FlowCache
 from bluebellfold.relay.callers.flow_homes import FlowHomes
 from bluebellfold.relay.callers.lookups import PendingLookup, PendingLookups
+from bluebellfold.relay.callers.probe_order import LAST_STAGE, ProbeOrder
 from bluebellfold.relay.callers.transport import Transport
+from bluebellfold.relay.callers.versions import ActiveRoutes
 from bluebellfold.relay.collectors import Journal
 
 # Up to this number of agents, all are asked at once: it costs no more than the
@@ -42,18 +44,24 @@
         '_homes',
         '_journal',
         '_lookups',
+        '_routes',
         '_transport',
+        '_zone',
     )
 
     def __init__(
         self,
         *,
+        zone: str,
         agent_table: AgentTable,
         follower: AgentFollower,
+        routes: ActiveRoutes,
         flows: FlowCache,
         transport: Transport,
         journal: Journal,
     ) -> None:
+        self._zone = zone
+        self._routes = routes
         self._agent_table = agent_table
         self._follower = follower
         self._homes = FlowHomes()
@@ -194,15 +202,30 @@
                 self._journal.count('lookups-repeated')
                 self._send_queries(flow, lookup, now)
                 self._conclude(flow, lookup, now, complete=agents_complete)
-            for address in lookup.pop_uncertain(now):
-                self._transport.send_to_agent(
-                    address, ForwardedPacket(packet=lookup.queued_packets[0])
-                )
+            self._send_probes(flow, lookup, now)
 
     def expire(self, now: float) -> None:
         """Remove lookups that have timed out."""
         self._lookups.expire(now)
 
+    def _send_probes(
+        self, flow: bytes, lookup: PendingLookup, now: float
+    ) -> None:
+        route = self._routes.table.find(service_address(flow))
+        shares = () if route is None else route.shares
+        order = ProbeOrder(
+            services={share.service for share in shares}, zone=self._zone
+        )
+
+        def stage_of(address: Address) -> int:  # noqa: WPS430
+            view = self._agent_table.find(address)
+            return LAST_STAGE if view is None else order.stage_of(view.entry)
+
+        for address in lookup.pop_probes(now, stage_of):
+            self._transport.send_to_agent(
+                address, ForwardedPacket(packet=lookup.queued_packets[0])
+            )
+
     def _assign_owner(self, flow: bytes, address: Address, now: float) -> None:
         assignment = self._flows.find_or_add(flow, now)
         assignment.assign(address)
--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -8,7 +8,7 @@
 would saturate a link of low bandwidth.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from bluebellfold.core import Packet
 from bluebellfold.relay.agents import Address
@@ -25,6 +25,8 @@
 # An agent that has just restarted doesn't know its flows. Its upstream is
 # probed once the other agents have had time to answer.
 PROBE_DELAY_SECONDS = 0.03
+# A stage of probes gets this time to be answered before the next one begins.
+PROBE_STAGE_SECONDS = 0.04
 # All agents are queried if no home agent has named the owner by then: several
 # round trips between zones.
 HOME_TIMEOUT_SECONDS = 0.03
@@ -46,6 +48,7 @@
         '_homes',
         '_not_found',
         '_presumed_absent',
+        '_probe_due',
         '_queried_at',
         '_queued_packets',
         '_retried_at',
@@ -56,6 +59,7 @@
     def __init__(self, *, now: float) -> None:
         self._homes: tuple[Address, ...] = ()
         self._started_at = now
+        self._probe_due = now
         self._queried_at = now
         self._retried_at = now
         self._not_found: set[Address] = set()
@@ -162,13 +166,19 @@
         self._presumed_absent.clear()
         return True
 
-    def pop_uncertain(self, now: float) -> tuple[Address, ...]:
-        """Remove and return the uncertain agents that are due for a probe."""
-        if now - self._queried_at < PROBE_DELAY_SECONDS:
+    def pop_probes(
+        self, now: float, stage_of: Callable[[Address], int]
+    ) -> tuple[Address, ...]:
+        """Remove and return the uncertain agents of the first stage, if due."""
+        due = max(self._queried_at + PROBE_DELAY_SECONDS, self._probe_due)
+        if now < due or not self._uncertain:
             return ()
-        uncertain = tuple(sorted(self._uncertain))
-        self._uncertain.clear()
-        return uncertain
+        stages = {agent: stage_of(agent) for agent in self._uncertain}
+        first = min(stages.values())
+        probed = sorted(agent for agent in stages if stages[agent] == first)
+        self._uncertain.difference_update(probed)
+        self._probe_due = now + PROBE_STAGE_SECONDS
+        return tuple(probed)
 
 
 class PendingLookups:
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -105,8 +105,10 @@
             home_regions=home_regions,
         )
         self._forwarder = FlowForwarder(
+            zone=zone,
             agent_table=self._agent_table,
             follower=self._follower,
+            routes=self._routes,
             flows=self._flows,
             transport=transport,
             journal=journal,
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """Test how a balancer forwards packets and looks up flows."""
 
 from bluebellfold.relay.agents import (
+    AgentEntry,
     FlowFound,
     FlowLookup,
     FlowNotFound,
@@ -18,7 +19,10 @@
     balancer_with,
 )
 from bluebellfold.relay.tests.harness import (
+    COUNTER,
+    ZONE,
     Balancer,
+    fleet_of,
     report_of,
     versions_of,
 )
@@ -179,6 +183,47 @@
     assert not balancer.transport.pop_messages(ForwardedPacket)
 
 
+# Load pattern: all processes are killed, and the upstreams keep their flows.
+# Guards against balancers that are overloaded by a packet of each flow to each
+# upstream.
+def test_upstreams_are_probed_first_where_the_flow_is_likely_held():
+    entries = [
+        AgentEntry(
+            address=(f'10.0.0.{number}', 8172), service=service, zone=zone
+        )
+        for number, (service, zone) in enumerate(
+            ((COUNTER, ZONE), (COUNTER, 'b'), ('press', ZONE), (COUNTER, ZONE))
+        )
+    ]
+    balancer = Balancer(agents=entries)
+    for entry in entries:
+        balancer.receive_message(entry.address, report_of(zone=entry.zone))
+    balancer.receive_packet(DATA)
+    for entry in entries:
+        balancer.receive_message(entry.address, FlowUncertain(flow=DATA.flow))
+    stages = []
+    for _ in range(4):
+        balancer.advance(0.05)
+        probed = balancer.transport.pop_messages(ForwardedPacket)
+        stages.append([int(address[0][-1]) for address, _ in probed])
+    assert [stage for stage in stages if stage] == [[0, 3], [1], [2]]
+
+
+def test_no_further_upstream_is_probed_once_the_owner_has_answered():
+    entries = fleet_of(6)
+    balancer = Balancer(agents=entries)
+    balancer.receive_packet(DATA)
+    for entry in entries:
+        balancer.receive_message(entry.address, FlowUncertain(flow=DATA.flow))
+    # The home agents are late first, and then all agents are uncertain.
+    balancer.advance(0.1)
+    assert len(balancer.transport.pop_messages(ForwardedPacket)) == 2
+    balancer.receive_message(entries[0].address, FlowFound(flow=DATA.flow))
+    balancer.transport.pop_messages(ForwardedPacket)
+    balancer.advance(0.3)
+    assert not balancer.transport.pop_messages(ForwardedPacket)
+
+
 # Guards against flows of which clients learn only seconds after a power loss
 # that they are lost: agents that started late were queried again with the next
 # packet of the client.
