Take a list of agents for complete as of the store's revision

A balancer that started after the most recently written agent had left computed a lower revision of the list than the balancers before it. Agents told it of the greater one, so that it listed the agents again each second, for as long as any older balancer ran, and reset no lost flow.

The list now counts as complete up to the revision of the store at which it was read. The new test failed before; found by reading, not seen in a run.

--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -172,6 +172,7 @@
             message.entries,
             self._clock.now(),
             revision=message.revision,
+            as_of=message.as_of,
             peer=message.peer,
         )
 
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -58,6 +58,7 @@
     __slots__ = (
         '_admission',
         '_agent_table',
+        '_agents_as_of',
         '_agents_revision',
         '_evacuations',
         '_flows',
@@ -89,6 +90,7 @@
         self._journal = journal
         self._routes = ActiveRoutes()
         self._agent_table = AgentTable()
+        self._agents_as_of = 0
         self._agents_revision = 0
         self._newest_agents_revision = NewestVersion()
         self._evacuations = Evacuations()
@@ -185,7 +187,7 @@
 
     def agents_outdated(self, now: float) -> bool:
         """Return whether the agent list has been outdated for too long."""
-        return self._newest_agents_revision.outdates(self._agents_revision, now)
+        return self._newest_agents_revision.outdates(self._agents_as_of, now)
 
     def evacuations_outdated(self, now: float) -> bool:
         """Return whether agents know of evacuations that the list lacks."""
@@ -225,16 +227,20 @@
         now: float,
         *,
         revision: int = 0,
+        as_of: int = 0,
         peer: str = '',
     ) -> None:
         """Replace the list of agents by the given revision of the list.
 
-        That of a balancer (``peer``) counts only before the store answers.
+        It has all agents as of the store's revision ``as_of``, also if the
+        agent that was written last has left since. That of a balancer
+        (``peer``) counts only before the store answers.
         """
         if not self._sources.agents.accepts(peer):
             return
         self._sources.agents.record(peer)
         self._agents_revision = revision
+        self._agents_as_of = max(as_of, revision)
         change = self._follower.update_agents(entries, now, revision=revision)
         if change.added or change.removed:
             self._forwarder.update_homes()
@@ -394,7 +400,7 @@
         return (
             self._sources.agents.is_store
             and not self._newest_agents_revision.is_newer_than(
-                self._agents_revision
+                self._agents_as_of
             )
         )
 
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -121,6 +121,27 @@
     ]
 
 
+# Guards against lists that count as outdated for good: the agent that was
+# written last had left before this balancer started, and others still told of
+# its revision.
+def test_list_read_later_than_the_newest_known_agent_is_complete():
+    balancer = balancer_with(
+        report_of(), report_of(versions=versions_of(agents=7))
+    )
+    balancer.relay.update_agents(
+        [AgentEntry(address=address) for address in (FIRST, SECOND)],
+        balancer.now,
+        revision=5,
+        as_of=9,
+    )
+    balancer.advance(0.4)
+    assert not balancer.relay.agents_outdated(balancer.now)
+    balancer.receive_packet(DATA)
+    for agent in (FIRST, SECOND):
+        balancer.receive_message(agent, ReturnedPacket(packet=DATA))
+    assert balancer.transport.resets == [DATA]
+
+
 # Guards against FLOW broken by a balancer that started without the store: it
 # knew no agent, and took the denial of one for that of all.
 def test_flow_is_not_reset_before_the_agents_are_listed():
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -93,7 +93,11 @@
                 self._newest_revision, change.stored.revision
             )
         self._actor.tell(
-            list_agents(self._entries.values(), revision=self._newest_revision)
+            list_agents(
+                self._entries.values(),
+                revision=self._newest_revision,
+                as_of=changes.revision,
+            )
         )
 
     def _reject(self, stored: StoredObject) -> None:
@@ -190,13 +194,18 @@
 
 
 def list_agents(
-    entries: Iterable[AgentEntry], *, revision: int, peer: str = ''
+    entries: Iterable[AgentEntry],
+    *,
+    revision: int,
+    as_of: int = 0,
+    peer: str = '',
 ) -> UpdateAgents:
     """Return the list of agents, one for each address, in order."""
     by_address = {entry.address: entry for entry in entries}
     return UpdateAgents(
         entries=tuple(by_address[key] for key in sorted(by_address)),
         revision=revision,
+        as_of=as_of,
         peer=peer,
     )
 
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -35,11 +35,13 @@
 class UpdateAgents(Message):
     """Replace the list of agents by the given revision of the list.
 
+    ``as_of`` is the revision of the store at which it was read, 0 if unknown.
     ``peer`` is the balancer that had it, empty for the store.
     """
 
-    __slots__ = ('_entries', '_peer', '_revision')
+    __slots__ = ('_as_of', '_entries', '_peer', '_revision')
 
+    as_of: int = read_only('_as_of')
     entries: tuple[AgentEntry, ...] = read_only('_entries')
     peer: str = read_only('_peer')
     revision: int = read_only('_revision')
@@ -49,8 +51,10 @@
         *,
         entries: tuple[AgentEntry, ...],
         revision: int,
+        as_of: int = 0,
         peer: str = '',
     ) -> None:
+        self._as_of = as_of
         self._entries = entries
         self._revision = revision
         self._peer = peer
