Count no request in flight that was answered before the agent's restart

Cause: a client repeats a request that was answered while no agent ran until it has the response again. The restarted agent took the first repeat that it saw for a new request, in flight until the upstream's retransmission or for 2 s.

The upstream's acknowledgement numbers tell what it has, so that a repeated packet below them is no new request. The new test failed before.

--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -216,6 +216,7 @@
         self._upstream_finished = (
             self._upstream_finished or packet.finishes or packet.resets
         )
+        self._track_acknowledgement(packet)
         if not packet.payload_bytes:
             return False
         end = (packet.sequence + packet.payload_bytes) % _SEQUENCE_SPACE
@@ -263,6 +264,17 @@
         self._requested_at = None
         self._received_at = None
 
+    def _track_acknowledgement(self, packet: Packet) -> None:
+        """Track what the upstream has, also from before this agent started.
+
+        A client repeats a request that was answered while no agent ran. The
+        upstream doesn't work on it again, so it is no request in progress.
+        """
+        if packet.resets:
+            return
+        if _is_after(packet.acknowledged, self._contiguous_end):
+            self._contiguous_end = packet.acknowledged
+
     def _track_data(self, packet: Packet) -> bool:
         """Track a client's data, and return whether it is new."""
         start = packet.sequence
--- a/bluebellfold/relay/upstreams/tests/test_load.py
+++ b/bluebellfold/relay/upstreams/tests/test_load.py
@@ -152,6 +152,28 @@
     assert agent.relay.in_flight(agent.now) == 0
 
 
+# Load pattern: all processes are killed, and clients repeat requests that were
+# answered meanwhile. Guards against upstreams that count as full for up to 2 s
+# because of them, and new flows that wait.
+def test_request_answered_before_the_restart_of_the_agent_is_not_in_flight():
+    agent = agent_with_balancer()
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    end = DATA.sequence + DATA.payload_bytes
+    agent.receive_upstream_packet(
+        upstream_packet(flags=ACKNOWLEDGE, acknowledged=end)
+    )
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    assert not agent.relay.in_flight(agent.now)
+    following = client_packet(
+        flags=ACKNOWLEDGE,
+        sequence=end,
+        acknowledged=DATA.acknowledged,
+        payload=b'GET /next',
+    )
+    agent.receive_message(BALANCER, ForwardedPacket(packet=following))
+    assert agent.relay.in_flight(agent.now) == 1
+
+
 def test_load_is_reported_after_a_change_and_periodically():
     agent = agent_with_balancer()
     agent.transport.sent.clear()
