Spread new flows by what other balancers have sent since the load report

Cause: balancers act on load reports that are 0.06 to 0.5 s old, and all of them choose the agent with the least reported work until its next report. Agents decline the surplus, and other upstreams idle.

Change: an agent measures the rate of new flows (exponentially decayed over 1 s) and sends it in RequestStats.arrivals_per_second. A balancer subtracts its own rate as of the report, multiplies by the report's age, and draws an agent in proportion to its part of the expected flows and its own one, if they are spread so that the expected work per slot becomes equal (policy water-filling, now the default). With less than half a flow expected from others it selects by least work as before. BBF0701 gets the field arrivals_of_others. ArrivalRate is in relay/agents, since balancers and agents must count over the same window.

With least-work in its place both tests of test_even_load.py fail.

--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -15,6 +15,7 @@
     AgentTableChange,
     AgentView,
 )
+from bluebellfold.relay.agents.arrivals import ArrivalRate
 from bluebellfold.relay.agents.codec import (
     UNREADABLE_MESSAGE,
     decode_message,
@@ -96,6 +97,7 @@
     'AgentTable',
     'AgentTableChange',
     'AgentView',
+    'ArrivalRate',
     'Declined',
     'FlowFound',
     'FlowLookup',
--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -5,6 +5,7 @@
 from bluebellfold.core import Record, read_only
 from bluebellfold.relay.agents.agent_entry import Address, AgentEntry
 from bluebellfold.relay.agents.agent_load import AgentLoad
+from bluebellfold.relay.agents.arrivals import ArrivalRate
 from bluebellfold.relay.agents.messages import READY
 
 # An agent reports at least every 0.2 s to a balancer that follows it; three
@@ -39,6 +40,8 @@
         '_is_followed',
         '_load',
         '_offers_sent',
+        '_others_per_second',
+        '_own_arrivals',
         '_probed_at',
         '_reported_at',
         '_unreachable',
@@ -52,6 +55,8 @@
         self._due_since: float | None = None
         self._is_followed = False
         self._offers_sent = 0
+        self._own_arrivals = ArrivalRate(now=now)
+        self._others_per_second = float(0)
         self._backoff_until = now
         self._unreachable = False
 
@@ -137,8 +142,16 @@
             and now >= self._backoff_until
         )
 
-    def count_offer(self) -> None:
+    def arrivals_of_others(self, now: float) -> float:
+        """Return the flows that other balancers likely sent since the report.
+
+        They aren't part of the requests in flight.
+        """
+        return self._others_per_second * max(now - self._reported_at, 0)
+
+    def count_offer(self, now: float) -> None:
         """Count a flow offered to the agent."""
+        self._own_arrivals.count(now)
         self._offers_sent = (self._offers_sent + 1) & _MAX_COUNTER
 
     def follow(self, now: float, *, followed: bool) -> None:
@@ -211,6 +224,13 @@
             if self.report_age_seconds(now) <= MAX_REPORT_INTERVAL_SECONDS:
                 return False
         self._load = load
+        # Both rates are as of now. If the own rate were taken later, a change
+        # of it would pass for arrivals of others.
+        self._others_per_second = max(
+            load.request_stats.arrivals_per_second
+            - self._own_arrivals.per_second(now),
+            0,
+        )
         self._reported_at = now
         self._unreachable = False
         self.mark_heard(now)
--- a/bluebellfold/relay/agents/selection.py
+++ b/bluebellfold/relay/agents/selection.py
@@ -11,8 +11,15 @@
 from bluebellfold.core import Record, Registry, Sentinel, read_only
 from bluebellfold.relay.agents.agent_entry import Address
 from bluebellfold.relay.agents.agent_table import AgentView
+from bluebellfold.relay.agents.balancing import (
+    draw_index,
+    fill_to_common_level,
+)
 
-DEFAULT_POLICY = 'least-work'
+DEFAULT_POLICY = 'water-filling'
+# Below this number of flows that others are expected to have sent, the reports
+# are as good as current, and the upstream with the least work is the best one.
+MIN_ARRIVALS_OF_OTHERS = 0.5
 # A request takes about 1.6 times as long at an upstream that is warming up.
 WARMING_FACTOR = 1.6
 # Equally fast upstreams differ by less than this factor, because of the
@@ -46,15 +53,17 @@
 class SelectionInput(Record):
     """Hold the inputs of a selection policy.
 
-    ``views`` are the candidates and ``zone`` is the zone of the balancer.
+    ``views`` are the candidates, at the time ``now``, and ``zone`` is the zone
+    of the balancer.
     ``draw`` returns a random number in [0, 1).
     ``typical_work_seconds`` is the median work of a request over the upstreams
     of the service, 0 if it is not known.
     """
 
-    __slots__ = ('_draw', '_typical_work_seconds', '_views', '_zone')
+    __slots__ = ('_draw', '_now', '_typical_work_seconds', '_views', '_zone')
 
     draw: Callable[[], float] = read_only('_draw')
+    now: float = read_only('_now')
     typical_work_seconds: float = read_only('_typical_work_seconds')
     views: tuple[AgentView, ...] = read_only('_views')
     zone: str = read_only('_zone')
@@ -64,11 +73,13 @@
         *,
         views: tuple[AgentView, ...],
         zone: str,
+        now: float,
         draw: Callable[[], float],
         typical_work_seconds: float,
     ) -> None:
         self._views = views
         self._zone = zone
+        self._now = now
         self._draw = draw
         self._typical_work_seconds = typical_work_seconds
 
@@ -108,6 +119,7 @@
     selection = SelectionInput(
         views=with_capacity,
         zone=zone,
+        now=now,
         draw=draw,
         typical_work_seconds=_median_work_seconds(healthy),
     )
@@ -176,16 +188,10 @@
     )
 
 
-@POLICIES.add(DEFAULT_POLICY)
+@POLICIES.add('least-work')
 def select_least_work(selection: SelectionInput) -> AgentView:
-    """Select the agent with the least current and expected work per slot.
-
-    Each open flow is expected to add the mean number of requests in flight
-    per open flow.
-    """
-    flows = sum(view.load.flows for view in selection.views)
-    in_flight = sum(view.in_flight for view in selection.views)
-    in_flight_per_flow = min(in_flight / max(flows, 1), 1)
+    """Select the agent with the least current and expected work per slot."""
+    in_flight_per_flow = _in_flight_per_flow(selection.views)
     return min(
         selection.views,
         key=lambda view: (
@@ -195,6 +201,38 @@
     )
 
 
+@POLICIES.add(DEFAULT_POLICY)
+def select_water_filling(selection: SelectionInput) -> AgentView:
+    """Select so that the work is equal with the flows that others have sent.
+
+    The agent is drawn in proportion to its part of these flows and the new one,
+    if they are spread so that the expected work per slot becomes equal.
+    """
+    arrivals = sum(
+        view.arrivals_of_others(selection.now) for view in selection.views
+    )
+    if arrivals < MIN_ARRIVALS_OF_OTHERS:
+        return select_least_work(selection)
+    in_flight_per_flow = _in_flight_per_flow(selection.views)
+    levels = []
+    capacities = []
+    for view in selection.views:
+        # What one flow adds to the expected work.
+        step = slowdown(view, selection.typical_work_seconds) / view.load.slots
+        expected = _expected_work(view, in_flight_per_flow, selection)
+        levels.append(expected - step)
+        capacities.append(1 / step)
+    parts = fill_to_common_level(levels, capacities, arrivals + 1)
+    return selection.views[draw_index(parts, selection.draw())]
+
+
+def _in_flight_per_flow(views: Collection[AgentView]) -> float:
+    """Return the requests in flight that each open flow is expected to add."""
+    flows = sum(view.load.flows for view in views)
+    in_flight = sum(view.in_flight for view in views)
+    return min(in_flight / max(flows, 1), 1)
+
+
 def _expected_work(
     view: AgentView, in_flight_per_flow: float, selection: SelectionInput
 ) -> float:
--- a/bluebellfold/relay/agents/tests/test_selection.py
+++ b/bluebellfold/relay/agents/tests/test_selection.py
@@ -11,7 +11,11 @@
     select_agent,
 )
 from bluebellfold.relay.agents.agent_table import AgentView
-from bluebellfold.relay.tests.harness import report_of, request_stats_of
+from bluebellfold.relay.tests.harness import (
+    report_of,
+    request_stats_of,
+    single,
+)
 
 NOW = 10.0
 
@@ -116,3 +120,58 @@
 
 def test_no_agent_is_selected_if_none_is_known():
     assert select_index([]) is NO_AGENT
+
+
+def select_often(views, *, seconds_after, policy):
+    """Return the indices that 100 draws select some time after the reports."""
+    draw = random.Random(5).random
+    return [
+        views.index(
+            select_agent(
+                views,
+                zone='a',
+                now=NOW + seconds_after,
+                draw=draw,
+                policy=policy,
+            )
+        )
+        for _ in range(100)
+    ]
+
+
+def busy_views(*, arrivals_per_second):
+    stats = request_stats_of(arrivals_per_second=arrivals_per_second)
+    return views_of(
+        *({'in_flight': busy, 'request_stats': stats} for busy in (0, 1, 1, 3))
+    )
+
+
+def test_without_arrivals_of_others_the_least_work_is_selected():
+    # Sites with one balancer, or with little load, are served as before.
+    views = busy_views(arrivals_per_second=0.4)
+    assert select_often(
+        views, seconds_after=0.3, policy='water-filling'
+    ) == select_often(views, seconds_after=0.3, policy='least-work')
+
+
+def test_arrivals_of_others_fill_the_least_loaded_upstreams():
+    # Four flows a second for 0.2 s to each: others have sent 3.2 flows. Those
+    # and the new one fill the upstreams up to a level of 2.07 in flight.
+    selected = select_often(
+        busy_views(arrivals_per_second=4),
+        seconds_after=0.2,
+        policy='water-filling',
+    )
+    assert selected.count(0) == pytest.approx(49, abs=12)
+    assert selected.count(1) == pytest.approx(25, abs=12)
+    assert not selected.count(3)
+
+
+def test_own_offers_are_not_arrivals_of_others():
+    # A single balancer would otherwise spread its flows at random.
+    view = single(views_of({}))
+    for _ in range(20):
+        view.count_offer(NOW)
+    stats = request_stats_of(arrivals_per_second=20)
+    view.update(report_of(sequence=2, request_stats=stats).load, NOW)
+    assert not view.arrivals_of_others(NOW + 0.5)
--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -266,12 +266,13 @@
             busy=view.in_flight,
             slots=view.load.slots,
             report_age_ms=round(view.report_age_seconds(now) * MS_PER_SECOND),
+            arrivals_of_others=round(view.arrivals_of_others(now), 1),
             version=self._routes.version,
         )
         max_in_flight = NO_IN_FLIGHT_LIMIT
         if assignment.declines < LIMITED_OFFERS:
             max_in_flight = view.in_flight + view.load.slots + MARGIN_REQUESTS
-        view.count_offer()
+        view.count_offer(now)
         self._pending_offers.add(packet, view.address, now)
         self._transport.send_to_agent(
             view.address,
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -86,8 +86,10 @@
     return Versions(configuration=configuration, agents=agents)
 
 
-def request_stats_of(*, work_seconds=0, failure_share=0):
-    return RequestStats(work_seconds=work_seconds, failure_share=failure_share)
+def request_stats_of(*, work_seconds=0, failure_share=0, **changes):
+    return RequestStats(
+        work_seconds=work_seconds, failure_share=failure_share, **changes
+    )
 
 
 def report_of(*, sequence=1, incarnation=1, followers=0, **changes):
--- /dev/null
+++ b/bluebellfold/relay/tests/test_even_load.py
@@ -0,0 +1,65 @@
+"""Test that many balancers spread flows evenly, though reports are stale."""
+
+from statistics import fmean
+
+import pytest
+
+from bluebellfold.relay.agents import DEFAULT_POLICY
+from bluebellfold.relay.tests.replay import Replay, Upstream
+
+BALANCERS = (6, 24, 59)
+# The age of a load report, and the share of the slots that is needed. A report
+# each 0.5 s shows a full queue for so long that no policy serves a higher load.
+REPORTS = ((0.06, 0.75), (0.2, 0.75), (0.5, 0.3))
+# With fewer declined offers, there is no herding that could be reduced.
+HERDING_SHARE = 0.05
+MEASURED_SECONDS = 6
+MAX_MEAN_RATIO = 0.95
+# Where herding is rare, both rules are equal within the noise.
+MAX_RATIO = 1.05
+
+
+def run_replay(policy, *, balancers, report_seconds, load):
+    upstreams = [Upstream(slots=2, work_seconds=0.04) for _ in range(24)]
+    return Replay(
+        policy=policy,
+        upstreams=upstreams,
+        balancers=balancers,
+        report_seconds=report_seconds,
+        load=load,
+    ).run(MEASURED_SECONDS)
+
+
+@pytest.fixture(scope='module')
+def replays():
+    """Return pairs of a replay by least work and one by the default."""
+    return [
+        [
+            run_replay(
+                policy,
+                balancers=balancers,
+                report_seconds=report_seconds,
+                load=load,
+            )
+            for policy in ('least-work', DEFAULT_POLICY)
+        ]
+        for balancers in BALANCERS
+        for report_seconds, load in REPORTS
+    ]
+
+
+def test_herding_declines_are_halved(replays):
+    # All balancers chose the upstream with the least reported load, so that
+    # agents declined up to a third of the offers.
+    herding = [
+        pair for pair in replays if pair[0].declined_share > HERDING_SHARE
+    ]
+    assert len(herding) > 3
+    for before, after in herding:
+        assert after.declined_share < before.declined_share / 2
+
+
+def test_requests_in_flight_are_more_even(replays):
+    ratios = [after.deviation / before.deviation for before, after in replays]
+    assert fmean(ratios) < MAX_MEAN_RATIO
+    assert max(ratios) < MAX_RATIO
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -82,6 +82,7 @@
         if flow is None:
             flow = self._flows.add(packet.flow, state=OFFERED, now=now)
             self._unknown_flows.record_offered(packet.flow)
+            self._reporter.count_arrival(now)
         flow.mark_offered(packet, address, now)
         self._reporter.mark_changed()
         # Without this report within 0.1 s, the balancer offers the flow to
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -9,6 +9,7 @@
     UNKNOWN,
     Address,
     AgentLoad,
+    ArrivalRate,
     LoadReport,
     RequestStats,
     Subscribe,
@@ -41,6 +42,7 @@
     """Send load reports to subscribed balancers."""
 
     __slots__ = (
+        '_arrivals',
         '_changed',
         '_flows',
         '_health',
@@ -78,6 +80,7 @@
         self._transport = transport
         self._journal = journal
         self._subscriptions = Subscriptions()
+        self._arrivals = ArrivalRate(now=now)
         self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._sequence = 0
         self._reported_at = now
@@ -124,6 +127,10 @@
         self._stopping = True
         self.report_state_change(now)
 
+    def count_arrival(self, now: float) -> None:
+        """Count a new flow that was admitted."""
+        self._arrivals.count(now)
+
     def mark_changed(self) -> None:
         """Record that the load has changed."""
         self._changed = True
@@ -232,6 +239,7 @@
             request_stats=RequestStats(
                 work_seconds=self._performance.work_seconds,
                 failure_share=self._performance.failure_share(now),
+                arrivals_per_second=self._arrivals.per_second(now),
             ),
             offers_seen=offers_seen,
             versions=self._versions,
--- a/bluebellfold/relay/upstreams/tests/test_load.py
+++ b/bluebellfold/relay/upstreams/tests/test_load.py
@@ -1,5 +1,7 @@
 """Test what an agent counts as in flight, and when it reports load."""
 
+import pytest
+
 from bluebellfold.relay.agents import (
     ForwardedPacket,
     LoadReport,
@@ -205,3 +207,15 @@
     )
     agent.advance(0.3)
     assert last_load(agent).versions.configuration == 8
+
+
+def test_report_tells_the_rate_of_new_flows_of_all_balancers():
+    agent = agent_with_balancer()
+    offer(agent)
+    # A copy of the opening packet is no new flow.
+    offer(agent)
+    rate = last_load(agent).request_stats.arrivals_per_second
+    assert rate == pytest.approx(1, rel=0.1)
+    agent.advance(5)
+    stats = last_load(agent).request_stats
+    assert stats.arrivals_per_second == pytest.approx(0, abs=0.1)
