Weigh upstreams by their measured work and the error of its mean

Cause: measured work counted only from twice the median of the service, so that upstreams 2.4 times as fast as the median got the same requests in flight as the others, and a slower one counted by chance of its last requests.

A balancer counts no difference within the bound and the whole from twice the bound on, at most 3 times faster and 8 times slower. Wire: the load report gets work_error, a float appended at its end.

--- a/bluebellfold/relay/agents/agent_load.py
+++ b/bluebellfold/relay/agents/agent_load.py
@@ -69,14 +69,21 @@
     """Summarise the recent requests of an upstream.
 
     ``work_seconds`` is the mean processing time of a request, 0 before the
-    first request. ``failure_share`` is the share of requests that failed,
+    first request, and ``work_error`` the bound on its relative error.
+    ``failure_share`` is the share of requests that failed,
     from 0 to 1. ``arrivals_per_second`` counts the new flows of all balancers.
     """
 
-    __slots__ = ('_arrivals_per_second', '_failure_share', '_work_seconds')
+    __slots__ = (
+        '_arrivals_per_second',
+        '_failure_share',
+        '_work_error',
+        '_work_seconds',
+    )
 
     arrivals_per_second: float = read_only('_arrivals_per_second')
     failure_share: float = read_only('_failure_share')
+    work_error: float = read_only('_work_error')
     work_seconds: float = read_only('_work_seconds')
 
     def __init__(
@@ -85,8 +92,10 @@
         work_seconds: float,
         failure_share: float,
         arrivals_per_second: float = 0,
+        work_error: float = 0,
     ) -> None:
         self._arrivals_per_second = arrivals_per_second
+        self._work_error = work_error
         self._work_seconds = work_seconds
         self._failure_share = failure_share
 
--- a/bluebellfold/relay/agents/load_fields.py
+++ b/bluebellfold/relay/agents/load_fields.py
@@ -1,6 +1,7 @@
 """Pack the load of an agent into a few bytes, and check what is unpacked."""
 
 import struct
+from math import inf
 
 from bluebellfold.relay.agents.agent_load import (
     NO_FLOW_LIMIT,
@@ -14,12 +15,15 @@
 
 # Incarnation, sequence, offers seen, state, warming up, slots, requests
 # in flight, flows, configuration version, agent list revision, mean work
-# seconds, failure share, evacuation revision, evacuated, new flows per second.
+# seconds, failure share, evacuation revision, evacuated, new flows per second,
+# bound on the relative error of the mean work.
 # The field for the warm-up is 0 if there is none, else one more than the flows
 # that are left.
-_LOAD_FIELDS = struct.Struct('>QIIBBHHIqqffq?f')
+_LOAD_FIELDS = struct.Struct('>QIIBBHHIqqffq?ff')
 # Position of the failure share among them.
 _FAILURE_SHARE = 11
+# Position of the evacuation revision, after which fields were appended.
+_EVACUATION_REVISION = 12
 _MAX_COUNTER = 0xFFFFFFFF
 _MAX_SHORT = 0xFFFF
 _MAX_WORK_SECONDS = 86_400.0
@@ -51,6 +55,7 @@
         load.versions.evacuation.revision,
         load.versions.evacuation.evacuated,
         load.request_stats.arrivals_per_second,
+        load.request_stats.work_error,
     )
     return b''.join(
         (numbers, bytes((len(service),)), service, load.zone.encode())
@@ -62,13 +67,14 @@
     numbers_end = _LOAD_FIELDS.size
     numbers = _LOAD_FIELDS.unpack(packed[:numbers_end])
     service_end = numbers_end + 1 + packed[numbers_end]
-    *_, revision, evacuated, arrivals = numbers
+    revision, evacuated, arrivals, work_error = numbers[_EVACUATION_REVISION:]
     check_range(numbers[3], least=0, most=len(STATE_NAMES) - 1)
     # An upstream without slots would have no load that can be compared.
     check_range(numbers[5], least=1, most=_MAX_SHORT)
     check_range(numbers[10], least=0, most=_MAX_WORK_SECONDS)
     check_range(numbers[_FAILURE_SHARE], least=0, most=1)
     check_range(arrivals, least=0, most=_MAX_ARRIVALS_PER_SECOND)
+    check_range(work_error, least=0, most=inf)
     return AgentLoad(
         incarnation=numbers[0],
         sequence=numbers[1],
@@ -87,6 +93,7 @@
             work_seconds=numbers[10],
             failure_share=numbers[_FAILURE_SHARE],
             arrivals_per_second=arrivals,
+            work_error=work_error,
         ),
         service=packed[numbers_end + 1 : service_end].decode(),
         zone=packed[service_end:].decode(),
--- a/bluebellfold/relay/agents/selection.py
+++ b/bluebellfold/relay/agents/selection.py
@@ -7,9 +7,11 @@
 """
 
 from collections.abc import Callable, Collection, Iterable
+from math import copysign, exp, log
 
 from bluebellfold.core import Record, Registry, Sentinel, read_only
 from bluebellfold.relay.agents.agent_entry import Address
+from bluebellfold.relay.agents.agent_load import RequestStats
 from bluebellfold.relay.agents.agent_table import AgentView
 from bluebellfold.relay.agents.balancing import (
     draw_index,
@@ -22,12 +24,15 @@
 MIN_ARRIVALS_OF_OTHERS = 0.5
 # A request takes about 1.6 times as long at an upstream that is warming up.
 WARMING_FACTOR = 1.6
-# Equally fast upstreams differ by less than this factor, because of the
-# requests that they happen to receive.
-MIN_SLOWDOWN = 2.0
+# A difference from the typical work counts in full from this multiple of its
+# error bound on, and not at all within the bound.
+FULL_WEIGHT_ERRORS = 2.0
 # Limits the effect of an outlier, which would otherwise keep all flows from an
 # upstream.
 MAX_SLOWDOWN = 8.0
+# Permanent differences in speed are smaller. An upstream that responds without
+# doing the work must not attract all flows.
+MIN_SLOWDOWN = 1 / 3
 # If a quarter of its recent requests failed, every other upstream is a better
 # choice for clients, even one whose queue is nearly full.
 MAX_FAILURE_SHARE = 0.25
@@ -145,15 +150,40 @@
 
 
 def slowdown(view: AgentView, typical_work_seconds: float) -> float:
-    """Return the work of a request relative to typical work, at least 1."""
+    """Return the work of a request relative to typical work.
+
+    It is 1 as far as the error of the measured mean explains the difference.
+    """
     load = view.load
-    minimum = WARMING_FACTOR if load.warming else 1
-    if not typical_work_seconds:
-        return minimum
-    measured = load.request_stats.work_seconds / typical_work_seconds
-    if measured < MIN_SLOWDOWN:
-        return minimum
-    return max(minimum, min(measured, MAX_SLOWDOWN))
+    measured = relative_work(load.request_stats, typical_work_seconds)
+    if load.warming:
+        return max(WARMING_FACTOR, measured)
+    return measured
+
+
+def relative_work(stats: RequestStats, typical_work_seconds: float) -> float:
+    """Return the measured work relative to typical work, weighted by its error.
+
+    >>> exact = RequestStats(work_seconds=24, failure_share=0, work_error=0.3)
+    >>> round(relative_work(exact, typical_work_seconds=10), 2)
+    2.4
+    >>> vague = RequestStats(work_seconds=24, failure_share=0, work_error=0.9)
+    >>> relative_work(vague, typical_work_seconds=10)
+    1.0
+    """
+    if not typical_work_seconds or not stats.work_seconds:
+        return float(1)
+    difference = log(stats.work_seconds / typical_work_seconds)
+    excess = abs(difference) - stats.work_error
+    if excess <= 0:
+        return float(1)
+    # Continuous, so that noise about the bound changes little.
+    counted = min(
+        abs(difference),
+        excess * FULL_WEIGHT_ERRORS / (FULL_WEIGHT_ERRORS - 1),
+    )
+    ratio = exp(copysign(counted, difference))
+    return max(MIN_SLOWDOWN, min(ratio, MAX_SLOWDOWN))
 
 
 def queue_capacity(
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -65,7 +65,10 @@
             warmup=Warmup(flows_left=3),
             followers=12,
             request_stats=RequestStats(
-                work_seconds=0.5, failure_share=0.25, arrivals_per_second=2.5
+                work_seconds=0.5,
+                failure_share=0.25,
+                arrivals_per_second=2.5,
+                work_error=0.25,
             ),
             versions=Versions(
                 configuration=-1,
@@ -88,6 +91,11 @@
         report_of(
             request_stats=RequestStats(work_seconds=nan, failure_share=0)
         ),
+        report_of(
+            request_stats=RequestStats(
+                work_seconds=0, failure_share=0, work_error=nan
+            )
+        ),
         report_of(
             request_stats=RequestStats(work_seconds=0, failure_share=inf)
         ),
@@ -99,7 +107,7 @@
             versions=Versions(configuration=12, agents=3),
         ),
     ],
-    ids=range(7),
+    ids=range(8),
 )
 def test_message_with_a_field_out_of_range_is_unreadable(message):
     # A load without slots ended the choice of an agent with an exception.
--- a/bluebellfold/relay/tests/replay.py
+++ b/bluebellfold/relay/tests/replay.py
@@ -73,6 +73,7 @@
             offers_seen=view.offers_sent,
             request_stats=RequestStats(
                 work_seconds=self._performance.work_seconds,
+                work_error=self._performance.work_error(now),
                 failure_share=0,
                 arrivals_per_second=self._arrivals.per_second(now),
             ),
--- a/bluebellfold/relay/tests/test_even_load.py
+++ b/bluebellfold/relay/tests/test_even_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bluebellfold.relay.agents import DEFAULT_POLICY
+from bluebellfold.relay.agents import DEFAULT_POLICY, selection
 from bluebellfold.relay.tests.replay import Replay, Upstream
 
 BALANCERS = (6, 24, 59)
@@ -13,8 +13,9 @@
 REPORTS = ((0.06, 0.75), (0.2, 0.75), (0.5, 0.3))
 # With fewer declined offers, there is no herding that could be reduced.
 HERDING_SHARE = 0.05
-MEASURED_SECONDS = 6
+MEASURED_SECONDS = 12
 MAX_MEAN_RATIO = 0.95
+FAST_FACTOR = 2.4
 # Where herding is rare, both rules are equal within the noise.
 MAX_RATIO = 1.05
 
@@ -63,3 +64,28 @@
     ratios = [after.deviation / before.deviation for before, after in replays]
     assert fmean(ratios) < MAX_MEAN_RATIO
     assert max(ratios) < MAX_RATIO
+
+
+def run_with_fast_upstreams():
+    upstreams = [
+        Upstream(
+            slots=1, work_seconds=0.03 if number % 3 else 0.03 / FAST_FACTOR
+        )
+        for number in range(40)
+    ]
+    return Replay(
+        policy=DEFAULT_POLICY,
+        upstreams=upstreams,
+        balancers=18,
+        report_seconds=0.13,
+        load=0.3,
+    ).run(MEASURED_SECONDS)
+
+
+def test_flows_are_served_sooner_if_fast_upstreams_get_more(monkeypatch):
+    # A third of the upstreams is 2.4 times as fast. Work below twice the median
+    # counted nothing, so that they got the same requests in flight.
+    weighted = fmean(run_with_fast_upstreams().seconds)
+    monkeypatch.setattr(selection, 'relative_work', lambda *_: 1)
+    unweighted = fmean(run_with_fast_upstreams().seconds)
+    assert weighted < unweighted * MAX_MEAN_RATIO
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -238,6 +238,7 @@
             warmup=self._warmup(now),
             request_stats=RequestStats(
                 work_seconds=self._performance.work_seconds,
+                work_error=self._performance.work_error(now),
                 failure_share=self._performance.failure_share(now),
                 arrivals_per_second=self._arrivals.per_second(now),
             ),
