--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -105,10 +105,12 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
+        now = self._clock.now()
         return {
+            'arrivals-per-second': self._relay.arrivals_per_second(now),
             'balancers': self._relay.balancer_count,
             'flows': self._relay.flow_count,
-            'requests-in-progress': self._relay.in_flight(self._clock.now()),
+            'requests-in-progress': self._relay.in_flight(now),
         }
 
     async def open(self) -> None:
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -127,6 +127,10 @@
         self._stopping = True
         self.report_state_change(now)
 
+    def arrivals_per_second(self, now: float) -> float:
+        """Return the recent rate of new flows."""
+        return self._arrivals.per_second(now)
+
     def count_arrival(self, now: float) -> None:
         """Count a new flow that was admitted."""
         self._arrivals.count(now)
@@ -240,7 +244,7 @@
                 work_seconds=self._performance.work_seconds,
                 work_error=self._performance.work_error(now),
                 failure_share=self._performance.failure_share(now),
-                arrivals_per_second=self._arrivals.per_second(now),
+                arrivals_per_second=self.arrivals_per_second(now),
             ),
             offers_seen=offers_seen,
             versions=self._versions,
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -109,6 +109,10 @@
         """Return how many flows are opening or await a response."""
         return self._flows.in_flight(now)
 
+    def arrivals_per_second(self, now: float) -> float:
+        """Return the recent rate of new flows."""
+        return self._reporter.arrivals_per_second(now)
+
     @property
     def flow_count(self) -> int:
         """Return how many flows the upstream is known to hold."""
