--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -11,6 +11,7 @@
     UNKNOWN,
     Address,
     AgentLoad,
+    ArrivalRate,
     Evacuation,
     LoadReport,
     RequestStats,
@@ -45,6 +46,7 @@
     """Send load reports to subscribed balancers."""
 
     __slots__ = (
+        '_arrivals',
         '_changed',
         '_flows',
         '_health',
@@ -87,6 +89,7 @@
         self._transport = transport
         self._journal = journal
         self._subscriptions = Subscriptions()
+        self._arrivals = ArrivalRate(now=now)
         self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._sequence = 0
         self._reported_at = now
@@ -138,6 +141,14 @@
         self._stopping = True
         self.report_state_change(now)
 
+    def arrivals_per_second(self, now: float) -> float:
+        """Return the recent rate of new flows."""
+        return self._arrivals.per_second(now)
+
+    def count_arrival(self, now: float) -> None:
+        """Count a new flow that was admitted."""
+        self._arrivals.count(now)
+
     def mark_changed(self) -> None:
         """Record that the load has changed."""
         self._changed = True
@@ -298,7 +309,9 @@
             warmup=self._warmup(now),
             request_stats=RequestStats(
                 work_seconds=self._performance.work_seconds,
+                work_error=self._performance.work_error(now),
                 failure_share=self._performance.failure_share(now),
+                arrivals_per_second=self.arrivals_per_second(now),
             ),
             offers_seen=offers_seen,
             versions=self._versions,
