Join changes of the list of agents into few responses

A watch of the list now waits 0.5 s after a change before its next call. A new agent may be known later by that time; the configuration and evacuations are watched as before. The new test failed before.

--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -29,6 +29,10 @@
 # If the connection of the watch breaks without an error, a new agent becomes
 # known after this time at the latest. Other agents serve meanwhile.
 WAIT_SECONDS = 10.0
+# At a start of the whole site agents are listed one by one within some seconds.
+# A response for each of them to each balancer would be most of the calls of a
+# quiet day. A new agent may be known later by this time.
+SETTLE_SECONDS = 0.5
 # Agents must be listed within 2 s after the store is reachable again.
 RETRY_CAP_SECONDS = 1.0
 MAX_PORT = 65_535
@@ -53,6 +57,7 @@
             client=ObjectStoreClient(endpoint=endpoint),
             backoff=_create_backoff(),
             wait_seconds=WAIT_SECONDS,
+            settle_seconds=SETTLE_SECONDS,
             copies=copies,
         )
         self._actor = actor
--- a/bluebellfold/relay/store/tests/test_agents.py
+++ b/bluebellfold/relay/store/tests/test_agents.py
@@ -27,8 +27,10 @@
     def __init__(self):
         super().__init__(name='recorder')
         self.received = asyncio.Queue()
+        self.told = 0
 
     def tell(self, message):
+        self.told += 1
         self.received.put_nowait(message)
 
     async def wait_for_addresses(self, wanted):
@@ -137,3 +139,17 @@
         await stop(registrar, running)
 
     asyncio.run(run_watched(scenario))
+
+
+# Load pattern: a site starts, and its agents are listed one by one. Guards
+# against a priced call of each balancer for each agent.
+def test_agents_listed_in_quick_succession_come_in_few_responses():
+    async def scenario(standin, actor):
+        addresses = [(f'10.0.0.{number}', 8172) for number in range(1, 11)]
+        remaining = list(addresses)
+        while remaining:
+            await register(standin, remaining.pop())
+        await actor.wait_for_addresses(sorted(addresses))
+        assert actor.told <= 4
+
+    asyncio.run(run_watched(scenario))
--- a/bluebellfold/relay/store/watching.py
+++ b/bluebellfold/relay/store/watching.py
@@ -37,7 +37,9 @@
     After a failure, and when the store no longer has the history since the
     last revision, the kind is listed again. The last known objects stay in
     force while the store is unreachable. The actor ``copies``, if there is one,
-    is told the objects as stored and whether the store confirms them.
+    is told the objects as stored and whether the store confirms them. After a
+    change the next call waits for ``settle_seconds``, so that changes in quick
+    succession are one response.
     """
 
     reactions = Registry(name='reactions of the watch of a kind')
@@ -49,6 +51,7 @@
         client: ObjectStoreClient,
         backoff: Backoff,
         wait_seconds: float,
+        settle_seconds: float = 0,
         draw: Callable[[], float] = random,
         copies: Actor | None = None,
     ) -> None:
@@ -57,6 +60,7 @@
         self._client = client
         self._backoff = backoff
         self._wait_seconds = wait_seconds
+        self._settle_seconds = settle_seconds
         self._draw = draw
         self._copies = copies
         self._unreadable: set[str] = set()
@@ -121,13 +125,16 @@
     async def _watch_kind(self) -> None:
         while True:
             try:
-                await self._list_or_watch()
+                changed = await self._list_or_watch()
             except StoreError as error:
                 await self._handle_failure(error)
                 continue
             self._handle_success()
+            if changed:
+                await asyncio.sleep(self._settle_seconds)
 
-    async def _list_or_watch(self) -> None:
+    async def _list_or_watch(self) -> bool:
+        """Make one call, and return whether a watch brought changes."""
         if self._revision is None:
             listed = await self._client.list_objects(self._kind)
             self._revision = listed.revision
@@ -135,7 +142,7 @@
             self.replace_all(listed)
             self._report_objects(listed, is_complete=True)
             self._was_listed = True
-            return
+            return False
         changes = await self._client.watch(
             self._kind,
             revision=self._revision,
@@ -146,7 +153,7 @@
         if changes is HISTORY_GONE:
             log_event(_log, 'BBF0731', kind=self._kind, revision=self._revision)
             self._revision = None
-            return
+            return False
         self._revision = changes.revision
         if changes.changes:
             self._unreadable.clear()
@@ -154,6 +161,7 @@
             self._report_objects(changes, is_complete=False)
         else:
             self.handle_unchanged(changes.revision)
+        return bool(changes.changes)
 
     async def _handle_failure(self, error: StoreError) -> None:
         if self._failures == 0:
