Read a configuration leniently, with the processes' field descriptions

Cause: decode_routing stops at the first unusable field and names none, so that a check before a submission would need a second reader. Change: configuration_fields.py describes each field once. decode_routing reads by it, and configuration_reader.py collects all problems with their paths. A service or route that is no object now makes the configuration unreadable; a service that was null raised AttributeError before.

--- a/bluebellfold/platform/__init__.py
+++ b/bluebellfold/platform/__init__.py
@@ -12,6 +12,15 @@
     ReadinessCall,
     decode_call,
 )
+from bluebellfold.platform.configuration_reader import (
+    DOCUMENT_ROOT,
+    Configuration,
+    RouteEntry,
+    ServiceEntry,
+    index_path,
+    join_path,
+    read_configuration,
+)
 from bluebellfold.platform.evacuations import (
     EVACUATIONS_KIND,
     UNUSABLE_ZONE,
@@ -59,6 +68,13 @@
     'EVACUATIONS_KIND',
     'InboundCall',
     'Change',
+    'Configuration',
+    'DOCUMENT_ROOT',
+    'RouteEntry',
+    'ServiceEntry',
+    'index_path',
+    'join_path',
+    'read_configuration',
     'Changes',
     'HISTORY_GONE',
     'MALFORMED',
--- /dev/null
+++ b/bluebellfold/platform/configuration_reader.py
@@ -0,0 +1,253 @@
+"""Read a configuration that may be wrong, and collect all its errors.
+
+The processes refuse a document at its first error; the check before a
+submission names every one. Both read each field by the same description in
+``configuration_fields``.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+
+from bluebellfold.core import Record, Route, RoutedService, read_only
+from bluebellfold.platform import configuration_fields as document
+from bluebellfold.platform.configuration_fields import Field, FieldError
+from bluebellfold.platform.routes import (
+    MS_PER_SECOND,
+    decode_route,
+    decode_service,
+)
+
+# Path of a problem of the document as a whole.
+DOCUMENT_ROOT = '$'
+
+
+class FieldProblem(Record):
+    """Describe a field that the processes or the platform can't use."""
+
+    __slots__ = ('_expected', '_path')
+
+    expected: str = read_only('_expected')
+    path: str = read_only('_path')
+
+    def __init__(self, *, path: str, expected: str) -> None:
+        self._path = path
+        self._expected = expected
+
+
+class RouteEntry(Record):
+    """Hold a readable route and its place in the document."""
+
+    __slots__ = ('_path', '_route')
+
+    path: str = read_only('_path')
+    route: Route = read_only('_route')
+
+    def __init__(self, *, path: str, route: Route) -> None:
+        self._path = path
+        self._route = route
+
+    def path_of(self, field: Field) -> str:
+        """Return the path of one of its fields."""
+        return join_path(self._path, field.key)
+
+
+class ServiceEntry(Record):
+    """Hold a readable service and its place in the document.
+
+    ``fields`` are all fields as text, to compare two versions.
+    """
+
+    __slots__ = ('_fields', '_max_connections', '_path', '_service', '_warmup')
+
+    fields: tuple[str, ...] = read_only('_fields')
+    max_connections: int = read_only('_max_connections')
+    path: str = read_only('_path')
+    service: RoutedService = read_only('_service')
+    warmup_seconds: float = read_only('_warmup')
+
+    def __init__(
+        self,
+        *,
+        path: str,
+        service: RoutedService,
+        max_connections: int,
+        warmup_seconds: float,
+        fields: tuple[str, ...],
+    ) -> None:
+        self._path = path
+        self._service = service
+        self._max_connections = max_connections
+        self._warmup = warmup_seconds
+        self._fields = fields
+
+    def path_of(self, field: Field) -> str:
+        """Return the path of one of its fields."""
+        return join_path(self._path, field.key)
+
+
+class Configuration(Record):
+    """Hold the readable parts of a document, and problems of the others.
+
+    ``version`` and ``idle_seconds`` are None if they are unreadable.
+    """
+
+    __slots__ = (
+        '_idle_seconds',
+        '_limits',
+        '_problems',
+        '_routes',
+        '_services',
+        '_version',
+    )
+
+    idle_seconds: float | None = read_only('_idle_seconds')
+    limits: dict[str, float] = read_only('_limits')
+    problems: tuple[FieldProblem, ...] = read_only('_problems')
+    routes: tuple[RouteEntry, ...] = read_only('_routes')
+    services: tuple[ServiceEntry, ...] = read_only('_services')
+    version: int | None = read_only('_version')
+
+    def __init__(
+        self,
+        *,
+        version: int | None,
+        idle_seconds: float | None,
+        limits: dict[str, float],
+        routes: tuple[RouteEntry, ...],
+        services: tuple[ServiceEntry, ...],
+        problems: tuple[FieldProblem, ...],
+    ) -> None:
+        self._version = version
+        self._idle_seconds = idle_seconds
+        self._limits = limits
+        self._routes = routes
+        self._services = services
+        self._problems = problems
+
+
+def read_configuration(spec: Any) -> Configuration:
+    """Return all readable parts of a decoded document, and its problems."""
+    reader = _Reader()
+    if not isinstance(spec, dict):
+        reader.report(DOCUMENT_ROOT, 'a JSON object')
+        return Configuration(
+            version=None,
+            idle_seconds=None,
+            limits={},
+            routes=(),
+            services=(),
+            problems=reader.problems,
+        )
+    version = reader.read(document.VERSION, spec, '')
+    limits = reader.read(document.LIMITS, spec, '')
+    if limits is not None:
+        limits = reader.read_all(
+            document.LIMIT_FIELDS, limits, document.LIMITS.key
+        )
+    limits = limits or {}
+    idle_ms = limits.get(document.IDLE_TIMEOUT.key)
+    routes = reader.read(document.ROUTES, spec, '') or ()
+    services = reader.read(document.SERVICES, spec, '') or ()
+    return Configuration(
+        version=version,
+        idle_seconds=None if idle_ms is None else idle_ms / MS_PER_SECOND,
+        limits=limits,
+        routes=tuple(filter(None, map(reader.read_route, *_number(routes)))),
+        services=tuple(
+            filter(None, map(reader.read_service, *_number(services)))
+        ),
+        problems=reader.problems,
+    )
+
+
+def join_path(path: str, key: str) -> str:
+    """Return the path of a field of an entry.
+
+    >>> join_path('Routes[3]', 'Name'), join_path('', 'Version')
+    ('Routes[3].Name', 'Version')
+    """
+    return f'{path}.{key}' if path else key
+
+
+def index_path(path: str, index: int) -> str:
+    """Return the path of an entry of a list.
+
+    >>> index_path('Routes', 3)
+    'Routes[3]'
+    """
+    return f'{path}[{index}]'
+
+
+class _Reader:
+    """Collect the problems of one document."""
+
+    __slots__ = ('_problems',)
+
+    def __init__(self) -> None:
+        self._problems: list[FieldProblem] = []
+
+    @property
+    def problems(self) -> tuple[FieldProblem, ...]:
+        """Return the problems in order of the document."""
+        return tuple(self._problems)
+
+    def report(self, path: str, expected: str) -> None:
+        """Add a problem."""
+        self._problems.append(FieldProblem(path=path, expected=expected))
+
+    def read(self, field: Field, fields: dict[str, Any], path: str) -> Any:
+        """Return the content of a field, None if it is unusable."""
+        try:
+            return field.read(fields)
+        except FieldError:
+            self.report(join_path(path, field.key), field.expected)
+        return None
+
+    def read_all(
+        self, wanted: Iterable[Field], fields: Any, path: str
+    ) -> dict[str, Any]:
+        """Return the usable ones of several fields by key."""
+        if not isinstance(fields, dict):
+            self.report(path, 'an object')
+            return {}
+        return {field.key: self.read(field, fields, path) for field in wanted}
+
+    def read_route(self, index: int, fields: Any) -> RouteEntry | None:
+        """Return a route, or None if it has a problem."""
+        path = index_path(document.ROUTES.key, index)
+        before = len(self._problems)
+        known = self.read_all(document.ROUTE_FIELDS, fields, path)
+        if known:
+            self._read_shares(fields, known[document.SPLIT.key], path)
+        if len(self._problems) > before:
+            return None
+        return RouteEntry(path=path, route=decode_route(fields))
+
+    def read_service(self, index: int, fields: Any) -> ServiceEntry | None:
+        """Return a service, or None if it has a problem."""
+        path = index_path(document.SERVICES.key, index)
+        before = len(self._problems)
+        known = self.read_all(document.SERVICE_FIELDS, fields, path)
+        if len(self._problems) > before:
+            return None
+        return ServiceEntry(
+            path=path,
+            service=decode_service(fields),
+            max_connections=known[document.MAX_CONNECTIONS.key],
+            warmup_seconds=known[document.WARMUP_TIME.key],
+            fields=tuple(map(str, known.items())),
+        )
+
+    def _read_shares(self, fields: Any, split: Any, path: str) -> None:
+        if not fields.get(document.SPLIT.key):
+            self.read(document.SERVICE, fields, path)
+            return
+        split_path = join_path(path, document.SPLIT.key)
+        for index, part in enumerate(split or ()):
+            part_path = index_path(split_path, index)
+            self.read_all((document.SERVICE, document.WEIGHT), part, part_path)
+
+
+def _number(entries: Iterable[Any]) -> tuple[Iterable[int], Iterable[Any]]:
+    listed = tuple(entries)
+    return range(len(listed)), listed
--- a/bluebellfold/platform/routes.py
+++ b/bluebellfold/platform/routes.py
@@ -1,6 +1,5 @@
 """Decode the configuration that the operator writes to the store."""
 
-import re
 from typing import Any
 
 from bluebellfold.core import (
@@ -11,21 +10,14 @@
     Share,
     pack_address,
 )
-from bluebellfold.platform.json_reader import is_integer, is_number, is_text
+from bluebellfold.platform import configuration_fields as document
 
 CONFIGURATION_KIND = 'config'
 CONFIGURATION_NAME = 'main'
 MS_PER_SECOND = 1000
 IDEMPOTENT = 'idempotent'
-MAX_PORT = 65_535
-MAX_VERSION = 0x7FFFFFFFFFFFFFFF
-MAX_PRIORITY = 255
-MAX_MS = 86_400_000
-MAX_WEIGHT = 1_000_000
-MAX_FLOWS_PER_SECOND = 1_000_000
-# An invalid IP address raises OSError.
-DECODE_ERRORS = (KeyError, TypeError, ValueError, OSError)
-PORT_PATTERN = re.compile(r'/([0-9]{1,5})/')
+# An entry that is no object has no fields to read: AttributeError.
+DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError, OSError)
 
 UNREADABLE_CONFIGURATION = Sentinel(
     name='unreadable-configuration',
@@ -41,81 +33,48 @@
         return UNREADABLE_CONFIGURATION
 
 
-def _decode_table(spec: Any) -> RoutingTable:
-    if not isinstance(spec['Routes'], list):
-        raise TypeError('the routes are no list')
-    idle_ms = spec['Limits']['IdleTimeoutMs']
-    return RoutingTable(
-        version=_check_integer(spec['Version'], most=MAX_VERSION),
-        routes=tuple(map(_decode_route, spec['Routes'])),
-        idle_seconds=_check_number(idle_ms, most=MAX_MS) / MS_PER_SECOND,
-        services=tuple(map(_decode_service, spec.get('Services') or ())),
-    )
-
-
-def _decode_service(fields: dict[str, Any]) -> RoutedService:
-    # A rate of 0, like a missing one, states no limit.
-    rate = fields.get('WarmupPerS', 0)
+def decode_service(fields: dict[str, Any]) -> RoutedService:
+    """Return one service, or raise one of DECODE_ERRORS."""
     return RoutedService(
-        name=_check_text(fields['Name']),
-        warmup_flows_per_second=_check_number(rate, most=MAX_FLOWS_PER_SECOND),
+        name=document.NAME.read(fields),
+        warmup_flows_per_second=float(document.WARMUP_RATE.read(fields)),
     )
 
 
-def _decode_route(fields: dict[str, Any]) -> Route:
+def decode_route(fields: dict[str, Any]) -> Route:
+    """Return one route, or raise one of DECODE_ERRORS."""
     # The `Hostname` of a route is an IP address, its `PathPrefix` a port.
-    port = PORT_PATTERN.fullmatch(fields['PathPrefix'])
-    if port is None:
-        raise ValueError('the path prefix is no port')
-    timeout_ms = fields['TimeoutMs']
-    target_ms = fields.get('TargetLatencyMs', 0)
+    port = int(document.PORT.read(fields).strip('/'))
     return Route(
-        name=_check_text(fields['Name']),
-        address=pack_address(
-            fields['Hostname'], _check_integer(int(port[1]), most=MAX_PORT)
-        ),
+        name=document.NAME.read(fields),
+        address=pack_address(document.ADDRESS.read(fields), port),
         shares=_decode_shares(fields),
-        repeatable=fields['Type'] == IDEMPOTENT,
-        priority=_check_integer(fields['Priority'], most=MAX_PRIORITY),
-        timeout_seconds=_check_number(timeout_ms, most=MAX_MS) / MS_PER_SECOND,
-        target_seconds=_check_number(target_ms, most=MAX_MS) / MS_PER_SECOND,
-        allowed_regions=_decode_regions(fields),
+        repeatable=document.ROUTE_TYPE.read(fields) == IDEMPOTENT,
+        priority=document.PRIORITY.read(fields),
+        timeout_seconds=document.TIMEOUT.read(fields) / MS_PER_SECOND,
+        target_seconds=document.TARGET.read(fields) / MS_PER_SECOND,
+        allowed_regions=frozenset(document.REGIONS.read(fields) or ()),
     )
 
 
-def _decode_regions(fields: dict[str, Any]) -> frozenset[str]:
-    regions = fields.get('AllowedRegions') or []
-    if not isinstance(regions, list):
-        raise TypeError('the regions are no list')
-    return frozenset(map(_check_text, regions))
+def _decode_table(spec: Any) -> RoutingTable:
+    limits = document.LIMITS.read(spec)
+    return RoutingTable(
+        version=document.VERSION.read(spec),
+        routes=tuple(map(decode_route, document.ROUTES.read(spec))),
+        idle_seconds=document.IDLE_TIMEOUT.read(limits) / MS_PER_SECOND,
+        services=tuple(map(decode_service, document.SERVICES.read(spec) or ())),
+    )
 
 
 def _decode_shares(fields: dict[str, Any]) -> tuple[Share, ...]:
-    split = fields.get('TrafficSplit')
+    split = document.SPLIT.read(fields)
     if not split:
-        return (Share(service=_check_text(fields['Service']), weight=1),)
+        return (Share(service=document.SERVICE.read(fields), weight=1),)
     return tuple(
         Share(
-            service=_check_text(part['Service']),
-            weight=_check_number(part['Weight'], most=MAX_WEIGHT),
+            service=document.SERVICE.read(part),
+            weight=float(document.WEIGHT.read(part)),
         )
         for part in split
     )
-
-
-def _check_integer(field: Any, *, most: int) -> int:
-    if not is_integer(field, least=0, most=most):
-        raise ValueError('a whole number is missing or out of range')
-    return field
-
-
-def _check_number(field: Any, *, most: float) -> float:
-    if not is_number(field, least=0, most=most):
-        raise ValueError('a number is missing or out of range')
-    return float(field)
-
-
-def _check_text(field: Any) -> str:
-    if not is_text(field):
-        raise ValueError('a text is missing, too long or not printable')
-    return field
--- a/bluebellfold/platform/tests/test_decoding.py
+++ b/bluebellfold/platform/tests/test_decoding.py
@@ -174,3 +174,11 @@
 def test_arbitrary_specification_is_a_table_or_sentinel(spec):
     decoded = decode_routing(spec)
     assert isinstance(decoded, RoutingTable | Sentinel)
+
+
+@pytest.mark.parametrize('entry', [None, 1, 'counter', []])
+@pytest.mark.parametrize('part', ['Routes', 'Services'])
+def test_entry_that_is_no_object_makes_configuration_unreadable(part, entry):
+    # A service that is null raised AttributeError in the balancer's watch.
+    spec = {**CONFIGURATION, part: [entry]}
+    assert decode_routing(spec) is UNREADABLE_CONFIGURATION
