Check a configuration of routes before it is submitted

Cause: a wrong config/main takes effect at every balancer within a second, and the processes only say that it is unreadable.

--- a/bluebellfold/operators/arguments.py
+++ b/bluebellfold/operators/arguments.py
@@ -31,8 +31,10 @@
 
 
 path_arguments = SetParseFn(
-    str, 'base', 'site', 'process', 'path', 'settings', 'log'
+    str, 'base', 'site', 'process', 'path', 'settings', 'log', 'against'
+)
+name_arguments = SetParseFn(
+    str, 'name', 'operation', 'role', 'wanted', 'store', 'regions'
 )
-name_arguments = SetParseFn(str, 'name', 'operation', 'role', 'wanted')
 version_argument = SetParseFn(parse_version, 'version')
-deadline_argument = SetParseFn(parse_seconds, 'deadline')
+deadline_argument = SetParseFn(parse_seconds, 'deadline', 'drain_seconds')
--- a/bluebellfold/operators/command.py
+++ b/bluebellfold/operators/command.py
@@ -15,9 +15,10 @@
     path_arguments,
     version_argument,
 )
+from bluebellfold.operators.check_commands import CheckOptions
 from bluebellfold.operators.config_commands import (
     apply_files,
-    check_files,
+    check_either,
     show_difference,
     show_history,
 )
@@ -41,14 +42,43 @@
     """Check, compare and apply the configuration of a site."""
 
     @path_arguments
-    def check(self, base: str, site: str) -> Invocation:
-        """Validate the base file and the overlay of a site.
+    @name_arguments
+    @deadline_argument
+    def check(
+        self,
+        base: str,
+        site: str = '',
+        against: str = '',
+        store: str = '',
+        regions: str = '',
+        drain_seconds: float | None = None,
+        json: bool = False,
+        strict: bool = False,
+    ) -> Invocation:
+        """Validate a JSON document, or the base file and the overlay of a site.
+
+        The options beside base and site are for a JSON document, which exits
+        with 0 clean, 1 warnings with --strict, 2 errors, 3 store not reached.
 
         Args:
-            base: Path of the base file.
+            base: Path of the JSON document for the store, or of the base file.
             site: Path of the overlay of the site.
+            against: Path of a document to compare with.
+            store: Address of the store, to compare with the version in force.
+            regions: Regions that have upstreams, separated by commas.
+            drain_seconds: Seconds that a drain waits for open requests.
+            json: Write the report as one line of JSON.
+            strict: Exit with 1 if there are warnings.
         """
-        return Invocation(partial(check_files, base, site))
+        options = CheckOptions(
+            against=against,
+            store=store,
+            regions=frozenset(filter(None, regions.split(','))),
+            drain_seconds=drain_seconds,
+            as_json=json,
+            strict=strict,
+        )
+        return Invocation(partial(check_either, base, site, options))
 
     @path_arguments
     def diff(self, base: str, site: str) -> Invocation:
--- a/bluebellfold/operators/config_commands.py
+++ b/bluebellfold/operators/config_commands.py
@@ -15,6 +15,12 @@
     configuration_object_name,
     read_change,
 )
+from bluebellfold.operators.check_commands import (
+    CheckOptions,
+    check_document,
+    is_json_file,
+)
+from bluebellfold.operators.exit_codes import SUCCEEDED
 from bluebellfold.operators.invocation import write_error, write_output
 from bluebellfold.operators.settings import load_site, parse_site
 from bluebellfold.operators.site_settings import SiteSettings
@@ -24,6 +30,24 @@
 from bluebellfold.store import Backoff, ObjectClient
 
 
+def check_either(base: str, site: str, options: CheckOptions) -> int:
+    """Check a JSON document or the settings of a site, by the content."""
+    if not site:
+        return check_document(base, options)
+    if is_json_file(base):
+        raise SettingsError(
+            problem=f'{base} is a JSON document, which has no overlay',
+            remedy='give the document alone, or two files of settings',
+        )
+    if options != CheckOptions():
+        raise SettingsError(
+            problem='an option for JSON documents is given with settings',
+            remedy='give only the base file and the overlay',
+        )
+    check_files(base, site)
+    return SUCCEEDED
+
+
 def check_files(base: str, overlay: str) -> None:
     """Validate both files and write a summary of the site."""
     site = load_site(base, overlay).site
--- /dev/null
+++ b/bluebellfold/operators/routing_diff.py
@@ -0,0 +1,121 @@
+"""List the differences from the configuration in force, sorted by risk."""
+
+from collections.abc import Iterator
+from enum import IntEnum
+
+from bluebellfold.core import Record, read_only
+from bluebellfold.platform import Configuration
+
+
+class Risk(IntEnum):
+    """Order differences by what they do to open and new flows."""
+
+    removed_route = 1
+    removed_service = 2
+    changed_service = 3
+    lowered_limit = 4
+    changed_route = 5
+    added = 6
+    raised_limit = 7
+
+
+class Difference(Record):
+    """Name a changed route, service or limit, and the effect."""
+
+    __slots__ = ('_effect', '_name', '_risk')
+
+    effect: str = read_only('_effect')
+    name: str = read_only('_name')
+    risk: Risk = read_only('_risk')
+
+    def __init__(self, *, risk: Risk, name: str, effect: str) -> None:
+        self._risk = risk
+        self._name = name
+        self._effect = effect
+
+
+Differences = Iterator[Difference]
+
+
+def compare_configurations(
+    current: Configuration, wanted: Configuration
+) -> tuple[Difference, ...]:
+    """Return the differences, those with the highest risk first."""
+    found = (
+        *_compare_routes(current, wanted),
+        *_compare_services(current, wanted),
+        *_compare_limits(current, wanted),
+    )
+    return tuple(sorted(found, key=_sort_key))
+
+
+def _compare_routes(
+    current: Configuration, wanted: Configuration
+) -> Differences:
+    old = {entry.route.name: entry.route for entry in current.routes}
+    new = {entry.route.name: entry.route for entry in wanted.routes}
+    for name in old.keys() - new.keys():
+        yield Difference(
+            risk=Risk.removed_route,
+            name=f'route {name}',
+            effect='removed: its open flows are dropped',
+        )
+    for name in new.keys() - old.keys():
+        yield Difference(risk=Risk.added, name=f'route {name}', effect='added')
+    for name in old.keys() & new.keys():
+        if old[name].address != new[name].address:
+            yield Difference(
+                risk=Risk.removed_route,
+                name=f'route {name}',
+                effect='moved: open flows of the old address are dropped',
+            )
+        elif old[name] != new[name]:
+            yield Difference(
+                risk=Risk.changed_route,
+                name=f'route {name}',
+                effect='changed: new flows follow the new fields',
+            )
+
+
+def _compare_services(
+    current: Configuration, wanted: Configuration
+) -> Differences:
+    old = {entry.service.name: entry.fields for entry in current.services}
+    new = {entry.service.name: entry.fields for entry in wanted.services}
+    for name in old.keys() - new.keys():
+        yield Difference(
+            risk=Risk.removed_service,
+            name=f'service {name}',
+            effect='removed: its limits no longer apply',
+        )
+    for name in new.keys() - old.keys():
+        yield Difference(
+            risk=Risk.added, name=f'service {name}', effect='added'
+        )
+    for name in old.keys() & new.keys():
+        if old[name] != new[name]:
+            yield Difference(
+                risk=Risk.changed_service,
+                name=f'service {name}',
+                effect='changed: its upstreams follow the new fields',
+            )
+
+
+def _compare_limits(
+    current: Configuration, wanted: Configuration
+) -> Differences:
+    for name in current.limits.keys() & wanted.limits.keys():
+        old, new = current.limits[name], wanted.limits[name]
+        if None in {old, new} or old == new:
+            continue
+        if new < old:
+            risk, effect = Risk.lowered_limit, 'lowered'
+        else:
+            risk, effect = Risk.raised_limit, 'raised'
+        yield Difference(
+            risk=risk, name=f'limit {name}', effect=f'{effect} to {new}'
+        )
+
+
+def _sort_key(difference: Difference) -> tuple[Risk, str]:
+    return difference.risk, difference.name
