--- a/bluebellfold/operators/check_commands.py
+++ b/bluebellfold/operators/check_commands.py
@@ -189,8 +189,7 @@
     for found in findings:
         write_output(_format_finding(found))
     for difference in differences:
-        risk = difference.risk.name.replace('_', ' ')
-        write_output(f'{risk}: {difference.name} {difference.effect}')
+        write_output(f'{difference.name} {difference.effect}')
     counts = (len(findings), len(differences))
     write_output('{0} findings, {1} differences'.format(*counts))
 
--- a/bluebellfold/operators/routing_checks.py
+++ b/bluebellfold/operators/routing_checks.py
@@ -68,11 +68,22 @@
         return
     yield Finding(
         path=checked.current.problems[0].path,
-        expected='a version in force that can be read for a comparison',
-        remedy='check the version in force on its own; differences may lack',
+        expected='a version in force that is readable',
+        remedy='compare by hand: no differences are shown',
     )
 
 
+@rule('RC104', WARNING, 'a field has a name that is not known')
+def check_unknown(checked: CheckInput) -> Findings:
+    """Yield each field that is ignored, such as a misspelt optional one."""
+    for path in checked.configuration.unknown_paths:
+        yield Finding(
+            path=path,
+            expected='the name of a known field',
+            remedy='correct the name, or remove the field',
+        )
+
+
 @rule('RC201', ERROR, 'a route is shadowed by another on the same address')
 def check_shadowed(checked: CheckInput) -> Findings:
     """Yield each route that can never match: the last one is used."""
--- a/bluebellfold/operators/routing_diff.py
+++ b/bluebellfold/operators/routing_diff.py
@@ -40,7 +40,13 @@
 def compare_configurations(
     current: Configuration, wanted: Configuration
 ) -> tuple[Difference, ...]:
-    """Return the differences, those with the highest risk first."""
+    """Return the differences, those with the highest risk first.
+
+    None are returned if a field of either document is unreadable: the entry
+    with it would count as removed or added.
+    """
+    if current.problems or wanted.problems:
+        return ()
     found = (
         *_compare_routes(current, wanted),
         *_compare_services(current, wanted),
@@ -52,8 +58,8 @@
 def _compare_routes(
     current: Configuration, wanted: Configuration
 ) -> Differences:
-    old = {entry.route.name: entry.route for entry in current.routes}
-    new = {entry.route.name: entry.route for entry in wanted.routes}
+    old = {entry.route.name: entry for entry in current.routes}
+    new = {entry.route.name: entry for entry in wanted.routes}
     for name in old.keys() - new.keys():
         yield Difference(
             risk=Risk.removed_route,
@@ -63,13 +69,13 @@
     for name in new.keys() - old.keys():
         yield Difference(risk=Risk.added, name=f'route {name}', effect='added')
     for name in old.keys() & new.keys():
-        if old[name].address != new[name].address:
+        if old[name].route.address != new[name].route.address:
             yield Difference(
                 risk=Risk.removed_route,
                 name=f'route {name}',
                 effect='moved: open flows of the old address are dropped',
             )
-        elif old[name] != new[name]:
+        elif not old[name].has_same_fields(new[name]):
             yield Difference(
                 risk=Risk.changed_route,
                 name=f'route {name}',
--- a/bluebellfold/operators/tests/test_routing_checks.py
+++ b/bluebellfold/operators/tests/test_routing_checks.py
@@ -100,7 +100,7 @@
     'RC305': (('Services', 0, 'MaxConnections'), 0, 1),
 }
 # Rules that need more than one changed field have tests of their own.
-OTHER_RULES = {'RC100', 'RC103'}
+OTHER_RULES = {'RC100', 'RC103', 'RC104'}
 
 
 def change(path, replacement):
@@ -154,6 +154,18 @@
     assert not find_codes(DOCUMENT, current=current)
 
 
+def test_misspelt_optional_field_is_a_warning():
+    # Without the rule the route silently has no target latency.
+    document = change(('Routes', 0, 'TargetLatencyMS'), 100)
+    assert find_codes(document) == ['RC104']
+    assert read_configuration(document).unknown_paths == (
+        'Routes[0].TargetLatencyMS',
+    )
+    document['Routes'][0].pop('TargetLatencyMS')
+    document['Routes'][0].pop('TargetLatencyMs')
+    assert not find_codes(document)
+
+
 def test_all_errors_are_found_with_their_paths():
     document = change(('Routes', 1, 'TrafficSplit', 1, 'Weight'), 'heavy')
     document['Routes'][0].pop('TimeoutMs')
@@ -188,6 +200,25 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ('path', 'replacement'),
+    [(('Routes', 0, 'MaxAttempts'), 3), (('Routes', 0, 'Type'), 'order')],
+)
+def test_each_changed_field_of_a_route_is_a_difference(path, replacement):
+    differences = compare_configurations(
+        read_configuration(DOCUMENT),
+        read_configuration(change(path, replacement)),
+    )
+    assert [found.risk for found in differences] == [Risk.changed_route]
+
+
+def test_unreadable_route_is_not_reported_as_removed():
+    current = read_configuration(DOCUMENT)
+    wanted = read_configuration(change(('Routes', 0, 'TimeoutMs'), '2 s'))
+    assert wanted.problems
+    assert not compare_configurations(current, wanted)
+
+
 def test_many_routes_are_checked_in_time():
     routes = [
         {
--- a/bluebellfold/platform/configuration_reader.py
+++ b/bluebellfold/platform/configuration_reader.py
@@ -11,6 +11,7 @@
 from bluebellfold.core import Record, Route, RoutedService, read_only
 from bluebellfold.platform import configuration_fields as document
 from bluebellfold.platform.configuration_fields import Field, FieldError
+from bluebellfold.platform.json_reader import MAX_TEXT, is_text
 from bluebellfold.platform.routes import (
     MS_PER_SECOND,
     decode_route,
@@ -37,19 +38,27 @@
 class RouteEntry(Record):
     """Hold a readable route and its place in the document."""
 
-    __slots__ = ('_path', '_route')
+    __slots__ = ('_max_attempts', '_path', '_route')
 
+    max_attempts: int = read_only('_max_attempts')
     path: str = read_only('_path')
     route: Route = read_only('_route')
 
-    def __init__(self, *, path: str, route: Route) -> None:
+    def __init__(self, *, path: str, route: Route, max_attempts: int) -> None:
         self._path = path
         self._route = route
+        self._max_attempts = max_attempts
 
     def path_of(self, field: Field) -> str:
         """Return the path of one of its fields."""
         return join_path(self._path, field.key)
 
+    def has_same_fields(self, other: 'RouteEntry') -> bool:
+        """Return whether the entries differ at most in their places."""
+        if self._max_attempts != other.max_attempts:
+            return False
+        return self._route == other.route
+
 
 class ServiceEntry(Record):
     """Hold a readable service and its place in the document.
@@ -88,6 +97,8 @@
 class Configuration(Record):
     """Hold the readable parts of a document, and problems of the others.
 
+    ``unknown_paths`` are those of fields that neither the processes nor the
+    platform know.
     ``version`` and ``idle_seconds`` are None if they are unreadable.
     """
 
@@ -97,6 +108,7 @@
         '_problems',
         '_routes',
         '_services',
+        '_unknown_paths',
         '_version',
     )
 
@@ -105,6 +117,7 @@
     problems: tuple[FieldProblem, ...] = read_only('_problems')
     routes: tuple[RouteEntry, ...] = read_only('_routes')
     services: tuple[ServiceEntry, ...] = read_only('_services')
+    unknown_paths: tuple[str, ...] = read_only('_unknown_paths')
     version: int | None = read_only('_version')
 
     def __init__(
@@ -116,6 +129,7 @@
         routes: tuple[RouteEntry, ...],
         services: tuple[ServiceEntry, ...],
         problems: tuple[FieldProblem, ...],
+        unknown_paths: tuple[str, ...] = (),
     ) -> None:
         self._version = version
         self._idle_seconds = idle_seconds
@@ -123,6 +137,7 @@
         self._routes = routes
         self._services = services
         self._problems = problems
+        self._unknown_paths = unknown_paths
 
 
 def read_configuration(spec: Any) -> Configuration:
@@ -138,6 +153,7 @@
             services=(),
             problems=reader.problems,
         )
+    reader.note_unknown(document.DOCUMENT_FIELDS, spec, '')
     version = reader.read(document.VERSION, spec, '')
     limits = reader.read(document.LIMITS, spec, '')
     if limits is not None:
@@ -157,6 +173,7 @@
             filter(None, map(reader.read_service, *_number(services)))
         ),
         problems=reader.problems,
+        unknown_paths=reader.unknown_paths,
     )
 
 
@@ -181,16 +198,33 @@
 class _Reader:
     """Collect the problems of one document."""
 
-    __slots__ = ('_problems',)
+    __slots__ = ('_problems', '_unknown_paths')
 
     def __init__(self) -> None:
         self._problems: list[FieldProblem] = []
+        self._unknown_paths: list[str] = []
 
     @property
     def problems(self) -> tuple[FieldProblem, ...]:
         """Return the problems in order of the document."""
         return tuple(self._problems)
 
+    @property
+    def unknown_paths(self) -> tuple[str, ...]:
+        """Return the paths of unknown fields in order of the document."""
+        return tuple(self._unknown_paths)
+
+    def note_unknown(
+        self, known: Iterable[Field], fields: dict[str, Any], path: str
+    ) -> None:
+        """Add the paths of the fields that are not among the known ones."""
+        known_keys = {field.key for field in known}
+        for key in fields:
+            if key not in known_keys:
+                # A key can hold any character; the path is written out.
+                shown = key if is_text(key) else ascii(key[:MAX_TEXT])
+                self._unknown_paths.append(join_path(path, shown))
+
     def report(self, path: str, expected: str) -> None:
         """Add a problem."""
         self._problems.append(FieldProblem(path=path, expected=expected))
@@ -204,24 +238,39 @@
         return None
 
     def read_all(
-        self, wanted: Iterable[Field], fields: Any, path: str
+        self,
+        wanted: tuple[Field, ...],
+        fields: Any,
+        path: str,
+        *,
+        also_known: tuple[Field, ...] = (),
     ) -> dict[str, Any]:
         """Return the usable ones of several fields by key."""
         if not isinstance(fields, dict):
             self.report(path, 'an object')
             return {}
+        self.note_unknown((*wanted, *also_known), fields, path)
         return {field.key: self.read(field, fields, path) for field in wanted}
 
     def read_route(self, index: int, fields: Any) -> RouteEntry | None:
         """Return a route, or None if it has a problem."""
         path = index_path(document.ROUTES.key, index)
         before = len(self._problems)
-        known = self.read_all(document.ROUTE_FIELDS, fields, path)
+        known = self.read_all(
+            document.ROUTE_FIELDS,
+            fields,
+            path,
+            also_known=(document.SERVICE,),
+        )
         if known:
             self._read_shares(fields, known[document.SPLIT.key], path)
         if len(self._problems) > before:
             return None
-        return RouteEntry(path=path, route=decode_route(fields))
+        return RouteEntry(
+            path=path,
+            route=decode_route(fields),
+            max_attempts=known[document.MAX_ATTEMPTS.key],
+        )
 
     def read_service(self, index: int, fields: Any) -> ServiceEntry | None:
         """Return a service, or None if it has a problem."""
@@ -245,7 +294,7 @@
         split_path = join_path(path, document.SPLIT.key)
         for index, part in enumerate(split or ()):
             part_path = index_path(split_path, index)
-            self.read_all((document.SERVICE, document.WEIGHT), part, part_path)
+            self.read_all(document.SHARE_FIELDS, part, part_path)
 
 
 def _number(entries: Iterable[Any]) -> tuple[Iterable[int], Iterable[Any]]:
