Warn of addresses that are not four decimal numbers

Cause: the processes read 010.0.0.1 as octal, 8.0.0.1, and 198.18.1 as 198.18.0.1, so that a route may serve another address than it shows. Change: RC105 warns of them. A test covers a server that is no store. Measured: the tests of operators and platform pass.

--- a/bluebellfold/operators/routing_checks.py
+++ b/bluebellfold/operators/routing_checks.py
@@ -84,6 +84,18 @@
         )
 
 
+@rule('RC105', WARNING, 'an address is not written as four decimal numbers')
+def check_addresses(checked: CheckInput) -> Findings:
+    """Yield each address that a reader may take for another one."""
+    for entry in checked.configuration.routes:
+        if not entry.decimal_address:
+            yield Finding(
+                path=entry.path_of(document.ADDRESS),
+                expected='four decimal numbers without leading zeros',
+                remedy='write the address out, such as 10.0.0.1',
+            )
+
+
 @rule('RC201', ERROR, 'a route is shadowed by another on the same address')
 def check_shadowed(checked: CheckInput) -> Findings:
     """Yield each route that can never match: the last one is used."""
--- a/bluebellfold/operators/tests/test_check_commands.py
+++ b/bluebellfold/operators/tests/test_check_commands.py
@@ -73,6 +73,24 @@
     assert asyncio.run(scenario()) == 3
 
 
+def test_server_that_is_no_store_exits_3(tmp_path):
+    path = write_document(tmp_path, DOCUMENT)
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello')
+        await writer.drain()
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        async with server:
+            host, port = server.sockets[0].getsockname()
+            return await check(path, '--store', f'{host}:{port}')
+
+    assert asyncio.run(scenario()) == 3
+
+
 def test_warnings_fail_with_strict_only(tmp_path):
     document = change(('Services', 0, 'WarmupPerS'), 0)
     path = write_document(tmp_path, document)
--- a/bluebellfold/operators/tests/test_routing_checks.py
+++ b/bluebellfold/operators/tests/test_routing_checks.py
@@ -74,6 +74,7 @@
 CASES = {
     'RC101': (('Routes', 0, 'Priority'), 256, 255),
     'RC102': (('Version',), 7, 8),
+    'RC105': (('Routes', 0, 'Hostname'), '010.0.0.1', '10.0.0.1'),
     'RC201': (('Routes', 1, 'PathPrefix'), '/443/', '/442/'),
     'RC202': (('Routes', 1, 'Name'), 'orders', 'order'),
     'RC203': (
--- a/bluebellfold/platform/configuration_reader.py
+++ b/bluebellfold/platform/configuration_reader.py
@@ -5,6 +5,7 @@
 ``configuration_fields``.
 """
 
+import socket
 from collections.abc import Iterable
 from typing import Any
 
@@ -36,18 +37,31 @@
 
 
 class RouteEntry(Record):
-    """Hold a readable route and its place in the document."""
+    """Hold a readable route and its place in the document.
 
-    __slots__ = ('_max_attempts', '_path', '_route')
+    ``decimal_address`` tells whether its address is written as four decimal
+    numbers. Others are readable too: 010.0.0.1 is octal and means 8.0.0.1.
+    """
+
+    __slots__ = ('_decimal_address', '_max_attempts', '_path', '_route')
 
+    decimal_address: bool = read_only('_decimal_address')
     max_attempts: int = read_only('_max_attempts')
     path: str = read_only('_path')
     route: Route = read_only('_route')
 
-    def __init__(self, *, path: str, route: Route, max_attempts: int) -> None:
+    def __init__(
+        self,
+        *,
+        path: str,
+        route: Route,
+        max_attempts: int,
+        decimal_address: bool,
+    ) -> None:
         self._path = path
         self._route = route
         self._max_attempts = max_attempts
+        self._decimal_address = decimal_address
 
     def path_of(self, field: Field) -> str:
         """Return the path of one of its fields."""
@@ -195,6 +209,15 @@
     return f'{path}[{index}]'
 
 
+def is_decimal_address(text: str) -> bool:
+    """Return whether an address is written as four decimal numbers.
+
+    >>> is_decimal_address('10.0.0.1'), is_decimal_address('010.0.0.1')
+    (True, False)
+    """
+    return socket.inet_ntoa(socket.inet_aton(text)) == text
+
+
 class _Reader:
     """Collect the problems of one document."""
 
@@ -270,6 +293,7 @@
             path=path,
             route=decode_route(fields),
             max_attempts=known[document.MAX_ATTEMPTS.key],
+            decimal_address=is_decimal_address(known[document.ADDRESS.key]),
         )
 
     def read_service(self, index: int, fields: Any) -> ServiceEntry | None:
