Offer no flows to an unannounced upstream that rejects one

The store had been away when these upstreams left, so that their agents stayed listed, and an agent counts as ready until the first announcement.

An upstream that hasn't announced itself to its agent and rejects a flow now counts as down until its announcement. The new test failed before.

--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -109,11 +109,11 @@
     def handle_upstream_packet(self, packet: Packet, now: float) -> None:
         """Handle a packet that the upstream sends to a client or returns."""
         if packet.returned:
-            self._handle_returned(packet)
+            self._handle_returned(packet, now)
             return
         flow = self._flows.find(packet.flow)
         if packet.resets and (flow is None or flow.state != OPEN):
-            self._suppress_reset(packet, flow)
+            self._suppress_reset(packet, flow, now)
             return
         if flow is None:
             flow = self._learn_flow(packet, now)
@@ -172,7 +172,7 @@
             )
         return judgement
 
-    def _handle_returned(self, packet: Packet) -> None:
+    def _handle_returned(self, packet: Packet, now: float) -> None:
         flow = self._flows.find(packet.flow)
         balancer = self._reporter.subscriptions.find_by_tag(packet.tag)
         if balancer is None and flow is not None:
@@ -189,9 +189,7 @@
             self._journal.count('returned-without-balancer')
             return
         if packet.opens:
-            self._transport.send_to_balancer(
-                balancer, Declined(packet=packet, reason=DECLINED_REJECTED)
-            )
+            self._decline_rejected(packet, balancer, now)
             return
         if flow is None or not flow.confirmed:
             self._return_packet(packet, balancer)
@@ -230,7 +228,7 @@
             self._end_request(packet, flow, now)
 
     def _suppress_reset(
-        self, packet: Packet, flow: UpstreamFlow | None
+        self, packet: Packet, flow: UpstreamFlow | None, now: float
     ) -> None:
         """Don't forward a reset: another upstream may serve the client."""
         self._journal.count('upstream-resets-kept')
@@ -241,16 +239,24 @@
         )
         self._flows.remove(packet.flow)
         if flow is not None and flow.state == OFFERED:
-            self._transport.send_to_balancer(
-                flow.balancer,
-                Declined(packet=flow.opening_packet, reason=DECLINED_REJECTED),
-            )
+            self._decline_rejected(flow.opening_packet, flow.balancer, now)
         probes = self._probes.pop(packet.flow, {})
         if probes and flow is None:
             self._unknown_flows.record_returned(packet.flow)
         for balancer, probe in probes.items():
             self._return_packet(probe, balancer)
 
+    def _decline_rejected(
+        self, packet: Packet, balancer: Address, now: float
+    ) -> None:
+        self._health.mark_rejected()
+        # Sent first, so that the balancer knows the state when it selects
+        # another agent.
+        self._reporter.report_state_change(now)
+        self._transport.send_to_balancer(
+            balancer, Declined(packet=packet, reason=DECLINED_REJECTED)
+        )
+
     def _learn_flow(self, packet: Packet, now: float) -> UpstreamFlow:
         state = ANSWERED if packet.accepts else OPEN
         flow = self._flows.add(packet.flow, state=state, now=now)
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -26,6 +26,7 @@
         '_last_seen_at',
         '_order',
         '_refused',
+        '_rejects_flows',
         '_service',
         '_suspected',
         '_timeout_seconds',
@@ -44,6 +45,7 @@
         self._last_seen_at = now
         self._is_heard = False
         self._refused = False
+        self._rejects_flows = False
         self._suspected = False
 
     @property
@@ -99,6 +101,8 @@
         """Return READY, DRAINING, DOWN or UNKNOWN."""
         if self.deregistered or self._refused or self._suspected:
             return DOWN
+        if self._rejects_flows:
+            return DOWN
         if now - self._last_seen_at > self._timeout_seconds:
             return DOWN
         known = self.announcement
@@ -118,6 +122,7 @@
             return OTHER_SERVICE
         verdict = self._order.judge(announcement, now)
         if verdict.accepted:
+            self._rejects_flows = False
             self.mark_alive(now)
         return verdict
 
@@ -140,6 +145,15 @@
         self._refused = True
         self._order.mark_port_closed()
 
+    def mark_rejected(self) -> None:
+        """Record that the upstream has rejected a new flow.
+
+        One that hasn't announced itself to this agent may have left before the
+        agent started. It then rejects each flow, so it is offered none until
+        its announcement.
+        """
+        self._rejects_flows = not self.is_announced
+
     def mark_suspected(self) -> None:
         """Record that the upstream left an opening packet unanswered."""
         self._suspected = True
--- a/bluebellfold/relay/upstreams/tests/test_admission.py
+++ b/bluebellfold/relay/upstreams/tests/test_admission.py
@@ -5,6 +5,7 @@
     DECLINED_DRAINING,
     DECLINED_FULL,
     DECLINED_OTHER_SERVICE,
+    DECLINED_REJECTED,
     DECLINED_UNANSWERED,
     DOWN,
     DRAINING,
@@ -13,6 +14,7 @@
     ForwardedPacket,
     ReturnedPacket,
 )
+from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.tests.harness import (
     single,
 )
@@ -30,6 +32,7 @@
     OPEN,
     RESET,
     opening_packet,
+    returned_packet,
     upstream_packet,
 )
 
@@ -163,6 +166,36 @@
     assert not agent.transport.to_clients
 
 
+# Guards against flows that are offered over and over to an agent whose upstream
+# had left before a power loss: the agent counted as ready until an announcement.
+def test_unannounced_upstream_that_rejects_a_flow_is_down_until_announced():
+    agent = agent_with_balancer(announced=False)
+    packet = opening_packet()
+    offer(agent, packet)
+    agent.receive_upstream_packet(
+        returned_packet(packet, tag=balancer_tag(BALANCER))
+    )
+    assert last_load(agent).state == DOWN, 'balancers get a report at once'
+    offer(agent, opening_packet(client=('100.64.0.8', 9)))
+    declined = agent.transport.pop_messages(Declined)
+    assert [message.reason for message in declined] == [
+        DECLINED_REJECTED,
+        DECLINED_DOWN,
+    ]
+    agent.announce()
+    assert last_load(agent).state == READY
+
+
+def test_announced_upstream_that_rejects_a_flow_stays_ready():
+    agent = agent_with_balancer()
+    packet = opening_packet()
+    offer(agent, packet)
+    agent.receive_upstream_packet(
+        returned_packet(packet, tag=balancer_tag(BALANCER))
+    )
+    assert agent.relay.state(agent.now) == READY
+
+
 def test_stopping_agent_declines_new_flows_and_forwards_the_others():
     agent = agent_with_flow()
     agent.relay.stop(agent.now)
