Check for an upstream in a region by the listed zones

Whether a route with home regions has a listed upstream was decided by copying and examining all agents of the service: for each new flow, for each attempt to assign a queued one, and for each queued flow after a change of the list.

The zones that the table indexes by service decide it now. Single agents are examined only where an entry names no zone.

The new test failed before.

--- a/bluebellfold/relay/callers/eligibility.py
+++ b/bluebellfold/relay/callers/eligibility.py
@@ -13,6 +13,9 @@
 from bluebellfold.relay.callers.home_regions import HomeRegions
 from bluebellfold.relay.callers.state_sources import StateSources
 
+# Stands for the zone of an agent whose entry names none.
+NO_ZONE = ''
+
 ALL_ZONES_EVACUATED = Sentinel(
     name='all-zones-evacuated',
     reason='every listed upstream of the service is in an evacuated zone',
@@ -82,8 +85,14 @@
     def _is_outside_of_regions(self, service: str, route: Route) -> bool:
         if not route.allowed_regions or not len(self._agent_table):
             return False
+        allowed = route.allowed_regions
+        listed_zones = self._agent_table.zones_for(service)
+        if self._home_regions.allows_any_zone(listed_zones, allowed):
+            return False
+        if NO_ZONE not in listed_zones:
+            return True
         return not self._home_regions.allows_any(
-            self._list_agents(service), route.allowed_regions
+            self._list_agents(service), allowed
         )
 
     def _list_agents(self, service: str) -> Sequence[AgentView]:
--- a/bluebellfold/relay/callers/home_regions.py
+++ b/bluebellfold/relay/callers/home_regions.py
@@ -49,3 +49,7 @@
     def allows_any(self, views: Iterable[AgentView], allowed: Regions) -> bool:
         """Return whether one of the agents is in an allowed region."""
         return any(self.allows(view, allowed) for view in views)
+
+    def allows_any_zone(self, zones: Iterable[str], allowed: Regions) -> bool:
+        """Return whether one of the zones is in an allowed region."""
+        return any(self._by_zone.get(zone) in allowed for zone in zones)
--- a/bluebellfold/relay/callers/tests/test_home_regions.py
+++ b/bluebellfold/relay/callers/tests/test_home_regions.py
@@ -8,6 +8,7 @@
     Offer,
     Subscribe,
 )
+from bluebellfold.relay.callers.home_regions import HomeRegions
 from bluebellfold.relay.tests.harness import (
     COUNTER,
     Balancer,
@@ -97,6 +98,28 @@
     assert not offered_to(balancer)
 
 
+def test_check_for_an_upstream_in_a_region_examines_no_single_agents(
+    monkeypatch,
+):
+    # It took 150 us for each new flow with 28,000 agents, and as long for each
+    # queued flow after a change of the list.
+    examined = []
+    allows = HomeRegions.allows
+    monkeypatch.setattr(
+        HomeRegions,
+        'allows',
+        lambda regions, view, allowed: (
+            examined.append(view) or allows(regions, view, allowed)
+        ),
+    )
+    fleet = [entry_of(number, 'a') for number in range(10, 110)]
+    balancer = Balancer(agents=fleet, routes=HOME_ROUTES, regions=REGIONS)
+    examined.clear()
+    balancer.receive_packet(opening_packet())
+    assert len(balancer.transport.resets) == 1
+    assert not examined
+
+
 def test_flow_waits_until_the_first_list_of_agents():
     balancer = Balancer(agents=None, routes=HOME_ROUTES, regions=REGIONS)
     balancer.receive_packet(opening_packet())
