Keep a flow at its agent when an earlier agent declines late

A decline moved a flow to a further agent also if the flow had been offered to another one since. The decline of an unanswered opening packet comes 0.1 s after the offer, and the balancer gives up an offer after the same time if the load report that answers it was lost. The third agent then got the packets of a flow that the second one's upstream had opened. The decline also ended the watch over the second offer, so that a killed second agent kept the flow until the client retransmitted.

A decline by another agent than the one that is assigned now only excludes that agent.

--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -163,9 +163,12 @@
     ) -> None:
         """Reassign a flow that an agent has declined."""
         packet = message.packet
-        self._pending_offers.remove(packet.flow)
-        self._retract_assignment(packet.flow)
         assignment = self._flows.find_or_add(packet.flow, now)
+        # Late: another agent has been offered the flow since, and may hold it.
+        is_late = assignment.agent not in {None, address}
+        if not is_late:
+            self._pending_offers.remove(packet.flow)
+            self._retract_assignment(packet.flow)
         if assignment.is_established:
             assignment.unassign(address)
             return
@@ -187,7 +190,8 @@
             agent=address[0],
             reason=DECLINE_NAMES[message.reason],
         )
-        self._assign_in_turn(packet, assignment, now)
+        if not is_late:
+            self._assign_in_turn(packet, assignment, now)
 
     def assign_queued(self, service: str, now: float) -> None:
         """Assign queued flows of a service whose load has changed."""
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -6,10 +6,12 @@
 from bluebellfold.relay.agents import (
     DECLINED_DRAINING,
     DECLINED_FULL,
+    DECLINED_UNANSWERED,
     DOWN,
     DRAINING,
     NO_FLOW_LIMIT,
     Declined,
+    ForwardedPacket,
     Offer,
     Warmup,
 )
@@ -352,6 +354,43 @@
     assert not balancer.transport.resets
 
 
+def test_late_decline_keeps_the_flow_at_the_agent_that_was_offered_it_since():
+    # The first agent's report was lost, so the flow went to a second one. The
+    # first one's decline moved it to a third one, which got the packets of a
+    # flow that the second one's upstream had opened, and they were reset.
+    balancer = balancer_with(
+        report_of(), report_of(in_flight=1), report_of(in_flight=2)
+    )
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.12)
+    offered = [address for address, _ in balancer.transport.pop_messages(Offer)]
+    assert offered == [FIRST, SECOND]
+    balancer.receive_message(
+        FIRST, Declined(packet=opening_packet(), reason=DECLINED_UNANSWERED)
+    )
+    assert not balancer.transport.pop_messages(Offer)
+    balancer.receive_packet(FIRST_DATA)
+    address, _ = single(balancer.transport.pop_messages(ForwardedPacket))
+    assert address == SECOND
+
+
+def test_late_decline_keeps_the_offer_since_under_watch():
+    # The offer counted as answered by the decline of another agent, so that a
+    # killed second agent kept the flow until its client retransmitted.
+    balancer = balancer_with(
+        report_of(), report_of(in_flight=1), report_of(in_flight=2)
+    )
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.12)
+    balancer.transport.sent.clear()
+    balancer.receive_message(
+        FIRST, Declined(packet=opening_packet(), reason=DECLINED_UNANSWERED)
+    )
+    balancer.advance(0.12)
+    address, _ = single(balancer.transport.pop_messages(Offer))
+    assert address == THIRD
+
+
 def test_late_retransmission_of_an_established_flow_is_not_assigned():
     balancer = balancer_with(report_of(), report_of(in_flight=1))
     balancer.receive_packet(opening_packet())
