Drop flows that may have run instead of resetting them

A flow that is refused for a lack of capacity in time was not reset if an agent may have accepted it unnoticed, but one that expired in the queue, found it full or lost its route was. If the agent's reply was lost, the client has opened the flow, and other balancers carry its packets: the reset was untrue.

All refusals leave out the reset of such a flow now and log BBF0739 with the reason. The client gives up 0.1 s after the queue's deadline, so it loses hardly any time. Both new tests failed before; the tests of the relay and of the collectors pass.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -453,7 +453,10 @@
 register(
     number='BBF0739',
     level=logging.INFO,
-    meaning='a queued flow was removed: its client stopped retransmitting',
+    meaning=(
+        'a new flow was removed without a reset: its client stopped '
+        'retransmitting, or an agent may have accepted it'
+    ),
     remedy=NO_REMEDY,
 )
 register(
--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -213,7 +213,11 @@
             if overdue.is_expired(now):
                 self._refuse(overdue.packet, 'no-upstream-in-time')
             else:
-                self._drop_abandoned(overdue, now)
+                self._drop(
+                    overdue.packet,
+                    'not-retransmitted',
+                    waited_ms=round((now - overdue.opened_at) * MS_PER_SECOND),
+                )
         self._queue_unrouted(now)
         self._contention.observe(self._queue, now)
         for service_queue in self._queue.services:
@@ -304,17 +308,6 @@
                 packet, route, service, opened_at=queued.opened_at, now=now
             )
 
-    def _drop_abandoned(self, abandoned: QueuedFlow, now: float) -> None:
-        flow = abandoned.packet.flow
-        self._flows.remove(flow)
-        self._journal.count('flows-abandoned')
-        self._journal.log(
-            'BBF0739',
-            flow=format_flow(flow),
-            attempt=abandoned.packet.attempt,
-            waited_ms=round((now - abandoned.opened_at) * MS_PER_SECOND),
-        )
-
     def _find_service_queue(self, flow: bytes) -> ServiceQueue | None:
         route = self._routes.table.find(service_address(flow))
         if route is None:
@@ -470,7 +463,25 @@
         self._queue.remove(packet.flow)
         self._journal.count('flows-unrouted')
 
+    def _drop(self, packet: Packet, reason: str, **inputs: float) -> None:
+        """Remove a flow without a reset."""
+        self._flows.remove(packet.flow)
+        self._queue.remove(packet.flow)
+        self._journal.count('flows-abandoned')
+        self._journal.log(
+            'BBF0739',
+            flow=format_flow(packet.flow),
+            attempt=packet.attempt,
+            reason=reason,
+            **inputs,
+        )
+
     def _refuse(self, packet: Packet, reason: str, **inputs: float) -> None:
+        assignment = self._flows.find(packet.flow)
+        if assignment is not None and assignment.may_have_run:
+            # A reset would be untrue if an agent has accepted the flow.
+            self._drop(packet, reason, **inputs)
+            return
         self._flows.remove(packet.flow)
         self._queue.remove(packet.flow)
         self._transport.reset_client(packet)
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -15,6 +15,7 @@
     Offer,
     Warmup,
 )
+from bluebellfold.relay.callers import flow_queue
 from bluebellfold.relay.callers.admission import NO_IN_FLIGHT_LIMIT
 from bluebellfold.relay.callers.service_queue import ServiceQueue
 from bluebellfold.relay.callers.tests.harness import (
@@ -528,6 +529,31 @@
     assert len(balancer.transport.resets) == (not offered)
 
 
+def test_flow_that_an_agent_may_have_accepted_is_not_reset_at_its_deadline():
+    # The agent's reply was lost. Other balancers carry the packets of the flow
+    # that its upstream opened, and the reset ended it.
+    balancer = balancer_with(report_of())
+    balancer.receive_packet(opening_packet(attempt=2))
+    balancer.advance(0.12)
+    assert balancer.relay.queued_flows == 1
+    balancer.advance(0.7)
+    assert not balancer.relay.queued_flows
+    assert not balancer.transport.resets
+
+
+def test_flow_that_an_agent_may_have_accepted_is_not_reset_by_a_full_queue(
+    monkeypatch,
+):
+    # No memory is left for the flow, but its upstream may run the request.
+    monkeypatch.setattr(flow_queue, 'MAX_QUEUED_FLOWS', 0)
+    balancer = balancer_with(report_of())
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.12)
+    assert not balancer.transport.resets
+    balancer.receive_packet(opening_packet(client=('100.64.0.9', 1)))
+    assert len(balancer.transport.resets) == 1
+
+
 def test_queued_flow_is_assigned_though_the_next_one_excludes_the_agent():
     # A flow that only unsuitable agents could take does not hold up others.
     balancer = balancer_with(report_of(), report_of(in_flight=8))
