Tell agents of an unknown zone nothing of evacuations

An agent whose entry names no zone and that has not reported yet was told that its zone is not evacuated as of the revision of the balancer's list. If its zone is evacuated, it took this for the end of the evacuation, accepted flows and passed the state on to balancers with an older list.

Until the zone is known, the subscription carries no state, as it carries no warm-up rate until the service is known. The new test failed before; the tests of relay/callers pass.

--- a/bluebellfold/relay/callers/evacuations.py
+++ b/bluebellfold/relay/callers/evacuations.py
@@ -10,7 +10,11 @@
 from collections.abc import Iterable
 
 from bluebellfold.core import NO_VERSION
-from bluebellfold.relay.agents import AgentView, Evacuation
+from bluebellfold.relay.agents import (
+    NO_EVACUATION,
+    AgentView,
+    Evacuation,
+)
 from bluebellfold.relay.callers.versions import MAX_LAG_SECONDS
 
 NO_ZONES: frozenset[str] = frozenset()
@@ -46,7 +50,12 @@
         return self._listed_revision
 
     def find(self, zone: str) -> Evacuation:
-        """Return the newest known state of a zone."""
+        """Return the newest known state of a zone.
+
+        Nothing is known of an empty zone: that of the agent isn't known yet.
+        """
+        if not zone:
+            return NO_EVACUATION
         heard = self._heard.get(zone)
         if heard is not None:
             return heard
--- a/bluebellfold/relay/callers/tests/test_evacuations.py
+++ b/bluebellfold/relay/callers/tests/test_evacuations.py
@@ -100,6 +100,21 @@
     return reasons
 
 
+def test_agent_of_an_unknown_zone_is_told_no_state():
+    # Its entry names no zone. It took the state for that of its evacuated zone,
+    # accepted flows, and told balancers that the evacuation had ended.
+    balancer = Balancer(agents=[AgentEntry(address=IN_A)])
+    balancer.transport.sent.clear()
+    evacuate(balancer, 'a')
+    balancer.advance(0.05)
+    _, message = single(balancer.transport.pop_messages(Subscribe))
+    assert message.versions.evacuation == NO_EVACUATION
+    report(balancer, IN_A)
+    balancer.advance(1)
+    _, message = balancer.transport.pop_messages(Subscribe)[-1]
+    assert message.versions.evacuation == state_of(revision=10)
+
+
 def test_new_flows_go_to_other_zones_only():
     balancer = balancer_with(IN_A, IN_B)
     evacuate(balancer, 'a')
