Reset no flow while all agents are silent

A lookup is repeated every 0.4 s, and its result is drawn then without an answer of an agent. If all listed agents were presumed dead, the empty set of living ones counted as having denied the flow: a balancer that no agent could reach for 3 s, or that started more than 3 s before the first agent, reset open flows. Before the repetition only the denial of a living agent led there.

A flow is kept now unless at least one agent is alive.

--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -315,7 +315,8 @@
             for view in self._agent_table.views
             if not view.is_presumed_dead(now)
         ]
-        if not lookup.is_not_found_at(candidates):
+        # If no agent is alive, nothing tells where the flow is.
+        if not candidates or not lookup.is_not_found_at(candidates):
             return
         if lookup.begin_confirmation():
             return
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -283,6 +283,19 @@
     assert balancer.transport.resets == [DATA]
 
 
+# Guards against open flows that are reset by a balancer which no agent can
+# reach, or which starts seconds before the first agent: nobody has denied them.
+def test_flow_is_not_reset_while_all_agents_are_silent():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.advance(4)
+    balancer.receive_packet(DATA)
+    balancer.advance(1)
+    assert not balancer.transport.resets
+    for agent in (FIRST, SECOND):
+        balancer.receive_message(agent, FlowNotFound(flow=DATA.flow))
+    assert balancer.transport.resets == [DATA]
+
+
 def test_all_returned_packets_are_forwarded_to_the_owner():
     # The cached owner has restarted and returns the packets that it receives.
     # A packet lost here is delayed until its client retransmits it.
