Offer no retransmission to an agent of another service

The first retransmission of an opening packet goes to the agent that the flow was offered to. The offer names the service that this agent reports; if another service had taken over its address since, the agent accepted the flow.

The agent has to report a service of the flow's route, as it has to be in a home region of the route. The new test failed before; the tests of relay/callers pass.

--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -385,8 +385,10 @@
     def _is_offerable(
         self, view: AgentView, packet: Packet, now: float
     ) -> bool:
+        if not view.is_live(now):
+            return False
         route = self._routes.table.find(service_address(packet.flow))
-        return view.is_live(now) and self._eligibility.allows(view, route)
+        return self._eligibility.allows(view, route)
 
     def _backoff_seconds(self, reason: int, view: AgentView) -> float:
         if reason != DECLINED_WARMING or view.load is None:
--- a/bluebellfold/relay/callers/eligibility.py
+++ b/bluebellfold/relay/callers/eligibility.py
@@ -52,14 +52,18 @@
         return self._home_regions.select(usable, route.allowed_regions)
 
     def allows(self, view: AgentView, route: Route | None) -> bool:
-        """Tell whether an agent may be offered a flow of a route.
+        """Tell whether an agent that has reported may get a flow of a route.
 
-        While no route is known, home regions aren't either.
+        While no route is known, its services and home regions aren't either.
         """
         if self._evacuations.covers(view):
             return False
         if route is None:
             return True
+        # Another service may have taken over the address.
+        services = {share.service for share in route.shares}
+        if view.load.service not in services:
+            return False
         return self._home_regions.allows(view, route.allowed_regions)
 
     def find_obstacle(self, service: str, route: Route) -> Sentinel | None:
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -122,6 +122,21 @@
     ] == [SECOND]
 
 
+def test_retransmission_leaves_an_agent_of_another_service():
+    # The address was taken over between both packets. The agent would accept
+    # the offer, since offers name the service that it reports.
+    balancer = balancer_with(report_of(), report_of(in_flight=5))
+    balancer.receive_packet(opening_packet())
+    balancer.receive_message(
+        FIRST, report_of(service='makeroom', incarnation=2)
+    )
+    balancer.transport.sent.clear()
+    balancer.receive_packet(opening_packet(attempt=1))
+    assert [
+        address for address, _ in balancer.transport.pop_messages(Offer)
+    ] == [SECOND]
+
+
 def test_declined_flow_is_offered_to_another_agent():
     balancer = balancer_with(report_of(), report_of(in_flight=1))
     packet = opening_packet()
