Correct a comment of a test of late declines

The third agent recognises by the acknowledged number that its upstream doesn't hold the flow, and returns the packets; that they were reset was not observed.

--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -373,7 +373,7 @@
 def test_late_decline_keeps_the_flow_at_the_agent_that_was_offered_it_since():
     # The first agent's report was lost, so the flow went to a second one. The
     # first one's decline moved it to a third one, which got the packets of a
-    # flow that the second one's upstream had opened, and they were reset.
+    # flow that the second one's upstream had opened.
     balancer = balancer_with(
         report_of(), report_of(in_flight=1), report_of(in_flight=2)
     )
