--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -163,9 +163,12 @@
     ) -> None:
         """Reassign a flow that an agent has declined."""
         packet = message.packet
-        self._pending_offers.remove(packet.flow)
-        self._retract_assignment(packet.flow)
         assignment = self._flows.find_or_add(packet.flow, now)
+        # Late: another agent has been offered the flow since, and may hold it.
+        is_late = assignment.agent not in {None, address}
+        if not is_late:
+            self._pending_offers.remove(packet.flow)
+            self._retract_assignment(packet.flow)
         if assignment.is_established:
             assignment.unassign(address)
             return
@@ -187,7 +190,8 @@
             agent=address[0],
             reason=DECLINE_NAMES[message.reason],
         )
-        self._assign_in_turn(packet, assignment, now)
+        if not is_late:
+            self._assign_in_turn(packet, assignment, now)
 
     def assign_queued(self, service: str, now: float) -> None:
         """Assign queued flows of a service whose load has changed."""
@@ -209,7 +213,11 @@
             if overdue.is_expired(now):
                 self._refuse(overdue.packet, 'no-upstream-in-time')
             else:
-                self._drop_abandoned(overdue, now)
+                self._drop(
+                    overdue.packet,
+                    'not-retransmitted',
+                    waited_ms=round((now - overdue.opened_at) * MS_PER_SECOND),
+                )
         self._queue_unrouted(now)
         self._contention.observe(self._queue, now)
         for service_queue in self._queue.services:
@@ -300,17 +308,6 @@
                 packet, route, service, opened_at=queued.opened_at, now=now
             )
 
-    def _drop_abandoned(self, abandoned: QueuedFlow, now: float) -> None:
-        flow = abandoned.packet.flow
-        self._flows.remove(flow)
-        self._journal.count('flows-abandoned')
-        self._journal.log(
-            'BBF0739',
-            flow=format_flow(flow),
-            attempt=abandoned.packet.attempt,
-            waited_ms=round((now - abandoned.opened_at) * MS_PER_SECOND),
-        )
-
     def _find_service_queue(self, flow: bytes) -> ServiceQueue | None:
         route = self._routes.table.find(service_address(flow))
         if route is None:
@@ -388,8 +385,10 @@
     def _is_offerable(
         self, view: AgentView, packet: Packet, now: float
     ) -> bool:
+        if not view.is_live(now):
+            return False
         route = self._routes.table.find(service_address(packet.flow))
-        return view.is_live(now) and self._eligibility.allows(view, route)
+        return self._eligibility.allows(view, route)
 
     def _backoff_seconds(self, reason: int, view: AgentView) -> float:
         if reason != DECLINED_WARMING or view.load is None:
@@ -466,7 +465,25 @@
         self._queue.remove(packet.flow)
         self._journal.count('flows-unrouted')
 
+    def _drop(self, packet: Packet, reason: str, **inputs: float) -> None:
+        """Remove a flow without a reset."""
+        self._flows.remove(packet.flow)
+        self._queue.remove(packet.flow)
+        self._journal.count('flows-abandoned')
+        self._journal.log(
+            'BBF0739',
+            flow=format_flow(packet.flow),
+            attempt=packet.attempt,
+            reason=reason,
+            **inputs,
+        )
+
     def _refuse(self, packet: Packet, reason: str, **inputs: float) -> None:
+        assignment = self._flows.find(packet.flow)
+        if assignment is not None and assignment.may_have_run:
+            # A reset would be untrue if an agent has accepted the flow.
+            self._drop(packet, reason, **inputs)
+            return
         self._flows.remove(packet.flow)
         self._queue.remove(packet.flow)
         self._transport.reset_client(packet)
--- a/bluebellfold/relay/callers/eligibility.py
+++ b/bluebellfold/relay/callers/eligibility.py
@@ -13,6 +13,9 @@
 from bluebellfold.relay.callers.home_regions import HomeRegions
 from bluebellfold.relay.callers.state_sources import StateSources
 
+# Stands for the zone of an agent whose entry names none.
+NO_ZONE = ''
+
 ALL_ZONES_EVACUATED = Sentinel(
     name='all-zones-evacuated',
     reason='every listed upstream of the service is in an evacuated zone',
@@ -49,14 +52,18 @@
         return self._home_regions.select(usable, route.allowed_regions)
 
     def allows(self, view: AgentView, route: Route | None) -> bool:
-        """Tell whether an agent may be offered a flow of a route.
+        """Tell whether an agent that has reported may get a flow of a route.
 
-        While no route is known, home regions aren't either.
+        While no route is known, its services and home regions aren't either.
         """
         if self._evacuations.covers(view):
             return False
         if route is None:
             return True
+        # Another service may have taken over the address.
+        services = {share.service for share in route.shares}
+        if view.load.service not in services:
+            return False
         return self._home_regions.allows(view, route.allowed_regions)
 
     def find_obstacle(self, service: str, route: Route) -> Sentinel | None:
@@ -82,8 +89,14 @@
     def _is_outside_of_regions(self, service: str, route: Route) -> bool:
         if not route.allowed_regions or not len(self._agent_table):
             return False
+        allowed = route.allowed_regions
+        listed_zones = self._agent_table.zones_for(service)
+        if self._home_regions.allows_any_zone(listed_zones, allowed):
+            return False
+        if NO_ZONE not in listed_zones:
+            return True
         return not self._home_regions.allows_any(
-            self._list_agents(service), route.allowed_regions
+            self._list_agents(service), allowed
         )
 
     def _list_agents(self, service: str) -> Sequence[AgentView]:
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -6,13 +6,16 @@
 from bluebellfold.relay.agents import (
     DECLINED_DRAINING,
     DECLINED_FULL,
+    DECLINED_UNANSWERED,
     DOWN,
     DRAINING,
     NO_FLOW_LIMIT,
     Declined,
+    ForwardedPacket,
     Offer,
     Warmup,
 )
+from bluebellfold.relay.callers import flow_queue
 from bluebellfold.relay.callers.admission import NO_IN_FLIGHT_LIMIT
 from bluebellfold.relay.callers.service_queue import ServiceQueue
 from bluebellfold.relay.callers.tests.harness import (
@@ -119,6 +122,21 @@
     ] == [SECOND]
 
 
+def test_retransmission_leaves_an_agent_of_another_service():
+    # The address was taken over between both packets. The agent would accept
+    # the offer, since offers name the service that it reports.
+    balancer = balancer_with(report_of(), report_of(in_flight=5))
+    balancer.receive_packet(opening_packet())
+    balancer.receive_message(
+        FIRST, report_of(service='makeroom', incarnation=2)
+    )
+    balancer.transport.sent.clear()
+    balancer.receive_packet(opening_packet(attempt=1))
+    assert [
+        address for address, _ in balancer.transport.pop_messages(Offer)
+    ] == [SECOND]
+
+
 def test_declined_flow_is_offered_to_another_agent():
     balancer = balancer_with(report_of(), report_of(in_flight=1))
     packet = opening_packet()
@@ -352,6 +370,43 @@
     assert not balancer.transport.resets
 
 
+def test_late_decline_keeps_the_flow_at_the_agent_that_was_offered_it_since():
+    # The first agent's report was lost, so the flow went to a second one. The
+    # first one's decline moved it to a third one, which got the packets of a
+    # flow that the second one's upstream had opened.
+    balancer = balancer_with(
+        report_of(), report_of(in_flight=1), report_of(in_flight=2)
+    )
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.12)
+    offered = [address for address, _ in balancer.transport.pop_messages(Offer)]
+    assert offered == [FIRST, SECOND]
+    balancer.receive_message(
+        FIRST, Declined(packet=opening_packet(), reason=DECLINED_UNANSWERED)
+    )
+    assert not balancer.transport.pop_messages(Offer)
+    balancer.receive_packet(FIRST_DATA)
+    address, _ = single(balancer.transport.pop_messages(ForwardedPacket))
+    assert address == SECOND
+
+
+def test_late_decline_keeps_the_offer_since_under_watch():
+    # The offer counted as answered by the decline of another agent, so that a
+    # killed second agent kept the flow until its client retransmitted.
+    balancer = balancer_with(
+        report_of(), report_of(in_flight=1), report_of(in_flight=2)
+    )
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.12)
+    balancer.transport.sent.clear()
+    balancer.receive_message(
+        FIRST, Declined(packet=opening_packet(), reason=DECLINED_UNANSWERED)
+    )
+    balancer.advance(0.12)
+    address, _ = single(balancer.transport.pop_messages(Offer))
+    assert address == THIRD
+
+
 def test_late_retransmission_of_an_established_flow_is_not_assigned():
     balancer = balancer_with(report_of(), report_of(in_flight=1))
     balancer.receive_packet(opening_packet())
@@ -489,6 +544,31 @@
     assert len(balancer.transport.resets) == (not offered)
 
 
+def test_flow_that_an_agent_may_have_accepted_is_not_reset_at_its_deadline():
+    # The agent's reply was lost. Other balancers carry the packets of the flow
+    # that its upstream opened, and the reset ended it.
+    balancer = balancer_with(report_of())
+    balancer.receive_packet(opening_packet(attempt=2))
+    balancer.advance(0.12)
+    assert balancer.relay.queued_flows == 1
+    balancer.advance(0.7)
+    assert not balancer.relay.queued_flows
+    assert not balancer.transport.resets
+
+
+def test_flow_that_an_agent_may_have_accepted_is_not_reset_by_a_full_queue(
+    monkeypatch,
+):
+    # No memory is left for the flow, but its upstream may run the request.
+    monkeypatch.setattr(flow_queue, 'MAX_QUEUED_FLOWS', 0)
+    balancer = balancer_with(report_of())
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.12)
+    assert not balancer.transport.resets
+    balancer.receive_packet(opening_packet(client=('100.64.0.9', 1)))
+    assert len(balancer.transport.resets) == 1
+
+
 def test_queued_flow_is_assigned_though_the_next_one_excludes_the_agent():
     # A flow that only unsuitable agents could take does not hold up others.
     balancer = balancer_with(report_of(), report_of(in_flight=8))
