--- a/bluebellfold/relay/upstreams/tests/test_admission.py
+++ b/bluebellfold/relay/upstreams/tests/test_admission.py
@@ -167,8 +167,8 @@
 
 
 # Guards against flows that are offered over and over to an agent whose upstream
-# had left before a power loss: the agent counted as ready until an announcement.
-def test_unannounced_upstream_that_rejects_a_flow_is_down_until_announced():
+# had left before a power loss: the agent counted as ready without one.
+def test_unannounced_upstream_that_rejects_a_flow_is_down_till_announced():
     agent = agent_with_balancer(announced=False)
     packet = opening_packet()
     offer(agent, packet)
