Take offers that an agent has received for no evidence of an earlier agent

After a power loss, lost flows were reset 10 s late. An agent presumes them absent unless balancers had offered flows to an earlier agent at its address.

An agent now subtracts the offers that it has received from the balancer. The new test failed before.

--- a/bluebellfold/relay/balancers/subscriptions.py
+++ b/bluebellfold/relay/balancers/subscriptions.py
@@ -55,10 +55,12 @@
 class Subscriptions:
     """Hold the subscriptions of balancers by address."""
 
-    __slots__ = ('_by_address',)
+    __slots__ = ('_by_address', '_offers_received')
 
     def __init__(self) -> None:
         self._by_address: dict[Address, Subscription] = {}
+        # By balancer since the start of the agent, also while not subscribed.
+        self._offers_received: dict[Address, int] = {}
 
     def __len__(self) -> int:
         """Return the number of balancers that get reports without asking."""
@@ -106,10 +108,15 @@
 
     def count_offer(self, address: Address) -> None:
         """Count a received offer of a balancer."""
+        self._offers_received[address] = self.offers_received(address) + 1
         subscription = self._by_address.get(address)
         if subscription is not None:
             subscription.count_offer()
 
+    def offers_received(self, address: Address) -> int:
+        """Return how many offers of a balancer this agent has received."""
+        return self._offers_received.get(address, 0)
+
     def offer_count(self, address: Address) -> int | None:
         """Return a balancer's offer count, None if it isn't subscribed."""
         subscription = self._by_address.get(address)
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -229,8 +229,10 @@
         self, message: Subscribe, address: Address, now: float
     ) -> None:
         if self._reporter.subscribe(message, address, now):
+            subscriptions = self._reporter.subscriptions
             self._unknown_flows.record_subscriber(
-                offers_sent=message.offers_sent
+                offers_sent=message.offers_sent,
+                offers_received=subscriptions.offers_received(address),
             )
 
     @handle_message.register
--- a/bluebellfold/relay/upstreams/tests/test_agent_start.py
+++ b/bluebellfold/relay/upstreams/tests/test_agent_start.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bluebellfold.relay.agents import (
+    FlowLookup,
     FlowPresumedAbsent,
     FlowUncertain,
     ForwardedPacket,
@@ -18,6 +19,7 @@
     DATA,
     LOOKUP,
     SUBSCRIBE,
+    offer,
 )
 
 # The agent's process is created 0.4 s before its upstream starts, and is ready
@@ -62,6 +64,22 @@
     assert agent.transport.delivered == [DATA]
 
 
+# Guards against lost flows that are reset seconds late: after a power loss, a
+# balancer that sampled the agent again told of its offers to this very agent,
+# which took them for offers to an earlier one.
+def test_offers_that_this_agent_received_are_no_evidence_of_an_earlier_one():
+    agent = Agent(agent_start=STARTED)
+    agent.receive_message(BALANCER, subscribe_of(once=True))
+    offer(agent)
+    agent.advance(5)
+    agent.announce(sequence=2)
+    agent.receive_message(BALANCER, subscribe_of(once=True, offers_sent=1))
+    unknown = FlowLookup(flow=bytes(12), acknowledged=1)
+    agent.transport.sent.clear()
+    agent.receive_message(BALANCER, unknown)
+    assert agent.transport.pop_messages(FlowPresumedAbsent)
+
+
 def test_lookup_is_uncertain_before_the_first_subscription():
     # A balancer that has offered flows to an earlier agent may follow.
     agent = Agent(agent_start=STARTED)
--- a/bluebellfold/relay/upstreams/unknown_flows.py
+++ b/bluebellfold/relay/upstreams/unknown_flows.py
@@ -115,12 +115,15 @@
         """Record that the upstream seems to have started after the agent."""
         self._started_later = True
 
-    def record_subscriber(self, *, offers_sent: int) -> None:
-        """Record how many flows a new subscriber had offered to this address.
+    def record_subscriber(
+        self, *, offers_sent: int, offers_received: int
+    ) -> None:
+        """Record how many flows a new subscriber has offered to this address.
 
-        This agent has received none of them, so they went to earlier agents.
+        Those that this agent hasn't received went to earlier agents.
         """
-        self._predecessor_offers = (self._predecessor_offers or 0) + offers_sent
+        missed = max(offers_sent - offers_received, 0)
+        self._predecessor_offers = (self._predecessor_offers or 0) + missed
 
     def record_returned(self, flow: bytes) -> None:
         """Record that the upstream has returned or reset an unknown flow."""
