Deny flows of an upstream that an agent has not heard since its start

An agent that has heard nothing for three announcement intervals since its start now denies. Only time in which the agent runs counts, since a frozen VM stops its upstream as well. The new tests failed before.

--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -22,6 +22,7 @@
     """
 
     __slots__ = (
+        '_announcement_seconds',
         '_is_heard',
         '_last_seen_at',
         '_order',
@@ -40,6 +41,7 @@
         now: float,
     ) -> None:
         self._service = service
+        self._announcement_seconds = announcement_seconds
         self._timeout_seconds = MAX_MISSED_INTERVALS * announcement_seconds
         self._order = StartOrder(interval_seconds=announcement_seconds)
         self._last_seen_at = now
@@ -48,6 +50,11 @@
         self._rejects_flows = False
         self._suspected = False
 
+    @property
+    def announcement_seconds(self) -> float:
+        """Return the interval between announcements of the upstream."""
+        return self._announcement_seconds
+
     @property
     def is_heard(self) -> bool:
         """Tell whether this agent has heard its upstream at all."""
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -27,6 +27,7 @@
     HUNG_REQUEST_SECONDS,
     Performance,
 )
+from bluebellfold.relay.upstreams.silence import UpstreamSilence
 from bluebellfold.relay.upstreams.start_order import StartVerdict
 from bluebellfold.relay.upstreams.transport import Transport
 from bluebellfold.relay.upstreams.unknown_flows import (
@@ -56,6 +57,7 @@
         '_journal',
         '_performance',
         '_reporter',
+        '_silence',
         '_sweep_due',
         '_unknown_flows',
         '_warmup',
@@ -91,6 +93,9 @@
             now=now,
         )
         self._unknown_flows = UnknownFlows(now=now)
+        self._silence = UpstreamSilence(
+            announcement_seconds=health.announcement_seconds, now=now
+        )
         self._admission = FlowAdmission(
             reporter=self._reporter,
             health=health,
@@ -168,6 +173,7 @@
             self._log_verdict('BBF0727', verdict, announcement, known)
             return False
         if known is None:
+            self._unknown_flows.record_silent(silent=False)
             self._compare_starts(announcement, now)
         if verdict.restarted:
             self._log_verdict('BBF0743', verdict, announcement, known)
@@ -208,10 +214,13 @@
     def handle_upstream_packet(self, packet: Packet, now: float) -> None:
         """Handle a packet that the upstream sends or returns."""
         self._health.mark_alive(now)
+        self._unknown_flows.record_silent(silent=False)
         self._forwarder.handle_upstream_packet(packet, now)
 
     def tick(self, now: float) -> None:
         """Act on expired timers; call at the latest when a report is due."""
+        if not self._health.is_heard and self._silence.observe(now):
+            self._unknown_flows.record_silent(silent=True)
         self._admission.decline_unanswered(now)
         for _ in range(
             self._flows.count_newly_hung(now - HUNG_REQUEST_SECONDS)
--- a/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
+++ b/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
@@ -11,6 +11,7 @@
 )
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.tests.harness import (
+    TICK_SECONDS,
     UPSTREAM_START_MS,
     Agent,
     subscribe_of,
@@ -169,6 +170,33 @@
     assert not denies(agent)
 
 
+# Guards against lost flows that are reset seconds late, since a listed agent
+# without an upstream was uncertain until the idle time had passed.
+def test_agent_that_hears_no_upstream_for_three_intervals_denies():
+    agent = agent_with_balancer(announced=False)
+    run(agent, 2.8)
+    assert not denies(agent)
+    run(agent, 0.4)
+    assert denies(agent)
+    agent.announce()
+    assert not denies(agent)
+
+
+# Guards against FLOW broken by a VM that stood still after its agent's start.
+def test_time_in_which_the_agent_stood_still_is_no_silence():
+    agent = agent_with_balancer(announced=False)
+    agent.advance(5)
+    run(agent, 2)
+    assert not denies(agent)
+
+
+def run(agent, seconds):
+    """Let an agent run in ticks while a balancer renews its subscription."""
+    for _ in range(round(seconds / TICK_SECONDS)):
+        agent.advance(TICK_SECONDS)
+    agent.receive_message(BALANCER, subscribe_of())
+
+
 def test_closed_port_shows_that_there_is_no_flow():
     agent = agent_with_balancer()
     agent.relay.handle_refusal(agent.now)
--- a/bluebellfold/relay/upstreams/unknown_flows.py
+++ b/bluebellfold/relay/upstreams/unknown_flows.py
@@ -43,6 +43,7 @@
 IDLE_TIME_PASSED = Denial(evidence='idle-time-passed')
 PORT_CLOSED = Denial(evidence='port-closed')
 RETURNED = Denial(evidence='returned-by-upstream')
+SILENT = Denial(evidence='upstream-silent')
 STARTED_LATER = Denial(evidence='upstream-started-later', presumed=True)
 
 AGENT_STARTED = Sentinel(
@@ -77,6 +78,7 @@
         '_no_packet_since',
         '_predecessor_offers',
         '_returned',
+        '_silent',
         '_started_later',
     )
 
@@ -89,6 +91,7 @@
         # The offers to earlier agents, as far as balancers told; None if none
         # of them has subscribed yet.
         self._predecessor_offers: int | None = None
+        self._silent = False
         self._started_later = False
         self._no_packet_since = now
         self._doubt = AGENT_STARTED
@@ -104,6 +107,8 @@
         """
         if flow in self._returned:
             return RETURNED
+        if self._silent:
+            return SILENT
         if now - self._no_packet_since > idle_seconds:
             return self._evidence
         is_only_doubt = self._doubt is AGENT_STARTED and self._started_later
@@ -125,6 +130,10 @@
         missed = max(offers_sent - offers_received, 0)
         self._predecessor_offers = (self._predecessor_offers or 0) + missed
 
+    def record_silent(self, *, silent: bool) -> None:
+        """Record whether the upstream is silent since the agent's start."""
+        self._silent = silent
+
     def record_returned(self, flow: bytes) -> None:
         """Record that the upstream has returned or reset an unknown flow."""
         self._returned[flow] = None
