Remove the entry of an agent that stops and never had an upstream

Agents whose upstreams had left while the store was away were started again, and the platform stopped them one after the other until 6 s later. Each stayed listed, since only a deregistration of its upstream made an agent remove its entry, and lookups waited 3 s for each until it counted as dead.

An agent that stops after three announcement intervals of running without an announcement now removes its entry as well. If its upstream is there after all, the next agent lists itself when it hears it.

--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -112,7 +112,7 @@
             ),
         )
         await runner.run()
-        if self._main_actor.upstream_deregistered:
+        if self._main_actor.upstream_left:
             await registrar.deregister()
 
     async def _is_ready(self) -> bool:
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -104,9 +104,9 @@
         )
 
     @property
-    def upstream_deregistered(self) -> bool:
-        """Tell whether the upstream has deregistered."""
-        return self._relay.upstream_deregistered
+    def upstream_left(self) -> bool:
+        """Tell whether the upstream has deregistered or isn't there at all."""
+        return self._relay.upstream_left
 
     def attach_registrar(self, registrar: Actor) -> None:
         """Set the task that registers the agent once its upstream is heard."""
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -150,9 +150,11 @@
         return self._warmup.flows_per_second
 
     @property
-    def upstream_deregistered(self) -> bool:
-        """Tell whether the upstream has deregistered."""
-        return self._health.deregistered
+    def upstream_left(self) -> bool:
+        """Tell whether the upstream has deregistered or isn't there at all."""
+        if self._health.deregistered:
+            return True
+        return self._silence.is_long and not self._health.is_announced
 
     def report_due(self) -> float:
         """Return when the next report is due."""
@@ -219,8 +221,8 @@
 
     def tick(self, now: float) -> None:
         """Act on expired timers; call at the latest when a report is due."""
-        if not self._health.is_heard and self._silence.observe(now):
-            self._unknown_flows.record_silent(silent=True)
+        if not self._health.is_announced:
+            self._observe_silence(now)
         self._admission.decline_unanswered(now)
         for _ in range(
             self._flows.count_newly_hung(now - HUNG_REQUEST_SECONDS)
@@ -305,6 +307,12 @@
         if started_later:
             self._unknown_flows.record_started_later()
 
+    def _observe_silence(self, now: float) -> None:
+        self._silence.observe(now)
+        self._unknown_flows.record_silent(
+            silent=self._silence.is_long and not self._health.is_heard
+        )
+
     def _forget_flows(self, reason: str) -> None:
         forgotten = self._flows.clear()
         self._reporter.mark_changed()
--- a/bluebellfold/relay/upstreams/silence.py
+++ b/bluebellfold/relay/upstreams/silence.py
@@ -9,7 +9,7 @@
 both.
 """
 
-# Intervals between announcements without a sign of the upstream.
+# Intervals between announcements that pass without one.
 MAX_SILENT_INTERVALS = 3.0
 # The agent observes 20 times a second. A longer gap counts as this much: the
 # process or its VM stood still.
@@ -17,7 +17,7 @@
 
 
 class UpstreamSilence:
-    """Measure for how long an agent has run without hearing its upstream.
+    """Measure for how long an agent has run without an announcement.
 
     ``announcement_seconds`` is the interval between announcements.
     """
@@ -29,9 +29,13 @@
         self._observed_at = now
         self._silent_seconds = float(0)
 
-    def observe(self, now: float) -> bool:
-        """Record that nothing has been heard yet; tell whether that is long."""
+    @property
+    def is_long(self) -> bool:
+        """Tell whether a running upstream would have announced itself."""
+        return self._silent_seconds >= self._limit_seconds
+
+    def observe(self, now: float) -> None:
+        """Record that there has been no announcement yet."""
         gap = now - self._observed_at
         self._observed_at = now
         self._silent_seconds += min(gap, MAX_GAP_SECONDS)
-        return self._silent_seconds >= self._limit_seconds
--- a/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
+++ b/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
@@ -182,6 +182,18 @@
     assert not denies(agent)
 
 
+# Guards against an agent that stays listed when it stops, because its upstream
+# had left before its start: lookups waited 3 s for each such agent.
+@pytest.mark.parametrize(
+    ('announced', 'seconds', 'left'),
+    [(False, 2.8, False), (False, 3.2, True), (True, 3.2, False)],
+)
+def test_upstream_without_an_announcement_has_left(announced, seconds, left):
+    agent = agent_with_balancer(announced=announced)
+    run(agent, seconds)
+    assert agent.relay.upstream_left is left
+
+
 # Guards against FLOW broken by a VM that stood still after its agent's start.
 def test_time_in_which_the_agent_stood_still_is_no_silence():
     agent = agent_with_balancer(announced=False)
