Fill each zone with its own arrivals before flows leave their zone

The arrivals of others were spread over the candidates of all zones alike, although the balancers of a zone prefer its upstreams, so that each flow was drawn from all zones as soon as half a flow was expected. In a replay with three zones and a load of 0.1, 46% of the flows left their zone, where least-work moves 2%.

Arrivals in other zones now raise the levels there, and only those of the own zone are spread.

--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -53,12 +53,10 @@
     Subscribe,
 )
 from bluebellfold.relay.agents.outbox import Outbox, split_datagram
+from bluebellfold.relay.agents.policies import DEFAULT_POLICY, POLICIES
 from bluebellfold.relay.agents.selection import (
     ALL_FULL,
-    DEFAULT_POLICY,
     NO_AGENT,
-    POLICIES,
-    queue_capacity,
     select_agent,
 )
 from bluebellfold.relay.agents.subset import (
@@ -66,6 +64,7 @@
     hash_evenly,
     select_subset,
 )
+from bluebellfold.relay.agents.upstream_work import queue_capacity
 
 __all__ = (
     'ALL_FULL',
--- a/bluebellfold/relay/agents/balancing.py
+++ b/bluebellfold/relay/agents/balancing.py
@@ -40,6 +40,23 @@
     ]
 
 
+def raise_to_common_level(
+    levels: Sequence[float], capacities: Sequence[float], flows: float
+) -> list[float]:
+    """Return the levels after the flows were spread for equal levels.
+
+    >>> raise_to_common_level([0, 1, 5], [1, 1, 1], 3)
+    [2.0, 2.0, 5.0]
+    """
+    if not levels:
+        return list(levels)
+    parts = fill_to_common_level(levels, capacities, flows)
+    return [
+        level + part / capacity
+        for level, part, capacity in zip(levels, parts, capacities, strict=True)
+    ]
+
+
 def draw_index(parts: Sequence[float], fraction: float) -> int:
     """Return an index, drawn in proportion to the parts.
 
--- a/bluebellfold/relay/tests/replay.py
+++ b/bluebellfold/relay/tests/replay.py
@@ -2,7 +2,7 @@
 
 import heapq
 import random
-from itertools import count
+from itertools import chain, count, cycle
 from statistics import fmean, pstdev
 
 from bluebellfold.relay.agents import (
@@ -28,7 +28,8 @@
 class Upstream:
     """Serve flows of one request each in the order of their arrival."""
 
-    def __init__(self, *, slots, work_seconds):
+    def __init__(self, *, slots, work_seconds, zone=ZONE):
+        self.zone = zone
         self.slots = slots
         self.work_seconds = work_seconds
         self.views = []
@@ -68,6 +69,7 @@
         self._sequence += 1
         report = report_of(
             sequence=self._sequence,
+            zone=self.zone,
             slots=self.slots,
             in_flight=self.in_flight(now),
             offers_seen=view.offers_sent,
@@ -86,18 +88,25 @@
 
     An upstream reports to each balancer that follows it, and at once to one
     that offers a flow. ``load`` is the share of the slots that is needed.
+    Balancers are spread evenly over the zones of the upstreams, and half of
+    what one follows is in its own zone.
     """
 
     def __init__(self, *, policy, upstreams, balancers, report_seconds, load):
         self.offers = 0
         self.declined = 0
+        self.cross_zone = 0
         self.seconds = []
         self._deviations = []
         self._policy = policy
         self._upstreams = upstreams
         self._report_seconds = report_seconds
         self._random = random.Random(3)
-        self._balancers = [self._follow() for _ in range(balancers)]
+        zones = sorted({one.zone for one in upstreams})
+        self._balancers = [
+            (zone, self._follow(zone))
+            for _, zone in zip(range(balancers), cycle(zones), strict=False)
+        ]
         capacity = sum(one.slots / one.work_seconds for one in upstreams)
         self._flows_per_second = load * capacity / fmean(WORK)
         self._order = count()
@@ -107,6 +116,11 @@
     def declined_share(self):
         return self.declined / self.offers
 
+    @property
+    def cross_zone_share(self):
+        """Return the share of the admitted flows in another zone."""
+        return self.cross_zone / len(self.seconds)
+
     @property
     def deviation(self):
         """Return the mean standard deviation of requests per slot."""
@@ -127,13 +141,14 @@
         event = (moment, next(self._order), handle, subject)
         heapq.heappush(self._events, event)
 
-    def _follow(self):
+    def _follow(self, zone):
         followed = {}
         # Those with the fewest followers, so that each upstream gets flows.
-        for upstream in sorted(
-            self._upstreams,
-            key=self._follow_rank,
-        )[:SUBSET_SIZE]:
+        ranked = sorted(self._upstreams, key=self._follow_rank)
+        local = [one for one in ranked if one.zone == zone]
+        remote = [one for one in ranked if one.zone != zone]
+        size = SUBSET_SIZE // 2 if remote else SUBSET_SIZE
+        for upstream in chain(local[:size], remote[:size]):
             entry = AgentEntry(address=(f'10.0.0.{len(followed)}', 1))
             view = AgentView(entry=entry, now=0)
             view.follow(0, followed=True)
@@ -162,11 +177,11 @@
             )
 
     def _offer(self, flow, now):
-        balancer, opened_at = flow
+        (zone, followed), opened_at = flow
         for declines in count():
             view = select_agent(
-                balancer,
-                zone=ZONE,
+                followed,
+                zone=zone,
                 now=now,
                 draw=self._random.random,
                 policy=self._policy,
@@ -178,7 +193,7 @@
             if declines < LIMITED_OFFERS:
                 limit = view.in_flight + view.load.slots + MARGIN_REQUESTS
             view.count_offer(now)
-            upstream = balancer[view]
+            upstream = followed[view]
             work = self._random.choice(WORK)
             seconds = upstream.admit(work, limit, now)
             upstream.report_to(view, now)
@@ -187,6 +202,7 @@
             if seconds is not None:
                 if measured:
                     self.seconds.append(now + seconds - opened_at)
+                    self.cross_zone += upstream.zone != zone
                 return
             view.back_off_until(now + RETRY_SECONDS)
             self.declined += measured
--- a/bluebellfold/relay/tests/test_even_load.py
+++ b/bluebellfold/relay/tests/test_even_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bluebellfold.relay.agents import DEFAULT_POLICY, selection
+from bluebellfold.relay.agents import DEFAULT_POLICY, upstream_work
 from bluebellfold.relay.tests.replay import Replay, Upstream
 
 BALANCERS = (6, 24, 59)
@@ -16,6 +16,8 @@
 MEASURED_SECONDS = 12
 MAX_MEAN_RATIO = 0.95
 FAST_FACTOR = 2.4
+# A tenth of the traffic is less than one zone's usual change in demand.
+MAX_CALM_CROSS_ZONE_SHARE = 0.1
 # Where herding is rare, both rules are equal within the noise.
 MAX_RATIO = 1.05
 
@@ -60,6 +62,37 @@
         assert after.declined_share < before.declined_share / 2
 
 
+def run_with_zones(*, report_seconds, load):
+    return [
+        Replay(
+            policy=policy,
+            upstreams=[
+                Upstream(slots=2, work_seconds=0.04, zone=f'zone-{number % 3}')
+                for number in range(24)
+            ],
+            balancers=24,
+            report_seconds=report_seconds,
+            load=load,
+        ).run(MEASURED_SECONDS)
+        for policy in ('least-work', DEFAULT_POLICY)
+    ]
+
+
+def test_flows_of_a_calm_site_stay_in_their_zone():
+    # What others had sent was expected to be spread over all zones, so that
+    # 46% of the flows left their zone while its upstreams were idle.
+    _, calm = run_with_zones(report_seconds=0.2, load=0.1)
+    assert calm.cross_zone_share < MAX_CALM_CROSS_ZONE_SHARE
+
+
+def test_zones_of_a_busy_site_share_the_load():
+    # With half of the traffic between zones or less, herding is still halved.
+    before, after = run_with_zones(report_seconds=0.2, load=0.75)
+    assert after.cross_zone_share < before.cross_zone_share / 2
+    assert after.declined_share < before.declined_share / 2
+    assert after.deviation < before.deviation
+
+
 def test_requests_in_flight_are_more_even(replays):
     ratios = [after.deviation / before.deviation for before, after in replays]
     assert fmean(ratios) < MAX_MEAN_RATIO
@@ -86,6 +119,6 @@
     # A third of the upstreams is 2.4 times as fast. Work below twice the median
     # counted nothing, so that they got the same requests in flight.
     weighted = fmean(run_with_fast_upstreams().seconds)
-    monkeypatch.setattr(selection, 'relative_work', lambda *_: 1)
+    monkeypatch.setattr(upstream_work, 'relative_work', lambda *_: 1)
     unweighted = fmean(run_with_fast_upstreams().seconds)
     assert weighted < unweighted * MAX_MEAN_RATIO
--- a/bluebellfold/relay/upstreams/tests/test_performance.py
+++ b/bluebellfold/relay/upstreams/tests/test_performance.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bluebellfold.relay.agents import ForwardedPacket
-from bluebellfold.relay.agents.selection import relative_work
+from bluebellfold.relay.agents.upstream_work import relative_work
 from bluebellfold.relay.tests.harness import (
     Agent,
     request_stats_of,
