Keep the entry of an agent whose upstream serves without announcements

An agent that stopped after three announcement intervals without an announcement removed its entry, also if packets of its upstream's open flows had passed it. Balancers then dropped it from their list, all other agents denied these flows, and living flows were reset.

A packet of a flow that the upstream holds now shows that it is there. One that it returns or resets doesn't: such packets are all that comes from the port of an upstream that has left. The new test of a serving upstream failed before.

--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -117,6 +117,8 @@
             return
         if flow is None:
             flow = self._learn_flow(packet, now)
+        if not packet.resets:
+            self._health.mark_served()
         self._track_upstream_packet(packet, flow, now)
         self._transport.send_to_client(packet)
 
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -23,6 +23,7 @@
 
     __slots__ = (
         '_announcement_seconds',
+        '_has_served',
         '_is_heard',
         '_last_seen_at',
         '_order',
@@ -46,6 +47,7 @@
         self._order = StartOrder(interval_seconds=announcement_seconds)
         self._last_seen_at = now
         self._is_heard = False
+        self._has_served = False
         self._refused = False
         self._rejects_flows = False
         self._suspected = False
@@ -60,6 +62,11 @@
         """Tell whether this agent has heard its upstream at all."""
         return self._is_heard
 
+    @property
+    def has_served(self) -> bool:
+        """Tell whether the upstream has sent a packet of a flow it holds."""
+        return self._has_served
+
     @property
     def is_announced(self) -> bool:
         """Tell whether the upstream has announced itself to this agent."""
@@ -147,6 +154,13 @@
         self._refused = False
         self._suspected = False
 
+    def mark_served(self) -> None:
+        """Record that the upstream has sent a packet of a flow it holds.
+
+        Unlike one that it returns or resets, it shows that the upstream runs.
+        """
+        self._has_served = True
+
     def mark_refused(self) -> None:
         """Record that the upstream's port is closed."""
         self._refused = True
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -154,7 +154,9 @@
         """Tell whether the upstream has deregistered or isn't there at all."""
         if self._health.deregistered:
             return True
-        return self._silence.is_long and not self._health.is_announced
+        if self._health.is_announced or self._health.has_served:
+            return False
+        return self._silence.is_long
 
     def report_due(self) -> float:
         """Return when the next report is due."""
--- a/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
+++ b/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
@@ -194,6 +194,33 @@
     assert agent.relay.upstream_left is left
 
 
+# Guards against living flows that are reset: an agent that got no announcements
+# removed its entry when it stopped, though its upstream served, and all agents
+# that were still listed denied the flows.
+def test_upstream_that_serves_without_an_announcement_has_not_left():
+    agent = agent_with_balancer(announced=False)
+    agent.receive_upstream_packet(
+        upstream_packet(flags=ACKNOWLEDGE, payload=b'HTTP/1.1 200 OK')
+    )
+    run(agent, 3.2)
+    assert agent.relay.flow_count == 1
+    assert not agent.relay.upstream_left
+
+
+@pytest.mark.parametrize('ending', ['returned', 'reset'])
+def test_upstream_that_only_gives_flows_back_has_left(ending):
+    agent = agent_with_balancer(announced=False)
+    packet = opening_packet()
+    offer(agent, packet)
+    gives_back = {
+        'returned': returned_packet(packet, tag=balancer_tag(BALANCER)),
+        'reset': upstream_packet(flags=RESET),
+    }
+    agent.receive_upstream_packet(gives_back[ending])
+    run(agent, 3.2)
+    assert agent.relay.upstream_left
+
+
 # Guards against FLOW broken by a VM that stood still after its agent's start.
 def test_time_in_which_the_agent_stood_still_is_no_silence():
     agent = agent_with_balancer(announced=False)
