Offer flows to an unannounced upstream that rejects one but serves others

An agent that has had no announcement since its start took its upstream for down once it rejected a flow. An upstream that is full rejects flows too, so after a restart of all agents under load, upstreams that served took no flows until their next announcement, up to an interval later, and for good if it was lost.

A rejection now counts only if the upstream has sent no packet of a flow that it holds within the time after which silence counts as down, and such a packet ends the state. The new tests failed before, but for that of an upstream that served long ago.

--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -118,7 +118,7 @@
         if flow is None:
             flow = self._learn_flow(packet, now)
         if not packet.resets:
-            self._health.mark_served()
+            self._health.mark_served(now)
         self._track_upstream_packet(packet, flow, now)
         self._transport.send_to_client(packet)
 
@@ -251,7 +251,7 @@
     def _decline_rejected(
         self, packet: Packet, balancer: Address, now: float
     ) -> None:
-        self._health.mark_rejected()
+        self._health.mark_rejected(now)
         # Sent first, so that the balancer knows the state when it selects
         # another agent.
         self._reporter.report_state_change(now)
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -23,12 +23,12 @@
 
     __slots__ = (
         '_announcement_seconds',
-        '_has_served',
         '_is_heard',
         '_last_seen_at',
         '_order',
         '_refused',
         '_rejects_flows',
+        '_served_at',
         '_service',
         '_suspected',
         '_timeout_seconds',
@@ -47,7 +47,7 @@
         self._order = StartOrder(interval_seconds=announcement_seconds)
         self._last_seen_at = now
         self._is_heard = False
-        self._has_served = False
+        self._served_at: float | None = None
         self._refused = False
         self._rejects_flows = False
         self._suspected = False
@@ -65,7 +65,7 @@
     @property
     def has_served(self) -> bool:
         """Tell whether the upstream has sent a packet of a flow it holds."""
-        return self._has_served
+        return self._served_at is not None
 
     @property
     def is_announced(self) -> bool:
@@ -154,27 +154,33 @@
         self._refused = False
         self._suspected = False
 
-    def mark_served(self) -> None:
+    def mark_served(self, now: float) -> None:
         """Record that the upstream has sent a packet of a flow it holds.
 
         Unlike one that it returns or resets, it shows that the upstream runs.
         """
-        self._has_served = True
+        self._served_at = now
+        self._rejects_flows = False
 
     def mark_refused(self) -> None:
         """Record that the upstream's port is closed."""
         self._refused = True
         self._order.mark_port_closed()
 
-    def mark_rejected(self) -> None:
+    def mark_rejected(self, now: float) -> None:
         """Record that the upstream has rejected a new flow.
 
         One that hasn't announced itself to this agent may have left before the
         agent started. It then rejects each flow, so it is offered none until
-        its announcement.
+        its announcement. One that serves other flows is full.
         """
-        self._rejects_flows = not self.is_announced
+        self._rejects_flows = not (self.is_announced or self._is_serving(now))
 
     def mark_suspected(self) -> None:
         """Record that the upstream left an opening packet unanswered."""
         self._suspected = True
+
+    def _is_serving(self, now: float) -> bool:
+        if self._served_at is None:
+            return False
+        return now - self._served_at <= self._timeout_seconds
--- a/bluebellfold/relay/upstreams/tests/test_admission.py
+++ b/bluebellfold/relay/upstreams/tests/test_admission.py
@@ -16,12 +16,14 @@
 )
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.tests.harness import (
+    TICK_SECONDS,
     single,
 )
 from bluebellfold.relay.upstreams.tests.harness import (
     ANSWER,
     BALANCER,
     DATA,
+    SUBSCRIBE,
     agent_with_balancer,
     agent_with_flow,
     last_load,
@@ -186,6 +188,50 @@
     assert last_load(agent).state == READY
 
 
+# Guards against upstreams that take no flows for an interval after all agents
+# were restarted under load: one that was full and rejected a flow counted as
+# down until its announcement, though it served others.
+def test_unannounced_upstream_that_serves_may_reject_a_flow():
+    agent = agent_with_balancer(announced=False)
+    response = upstream_packet(flags=ACKNOWLEDGE, payload=b'HTTP/1.1 200 OK')
+    agent.receive_upstream_packet(response)
+    rejected = opening_packet(client=('100.64.0.8', 9))
+    offer(agent, rejected)
+    agent.receive_upstream_packet(
+        returned_packet(rejected, tag=balancer_tag(BALANCER))
+    )
+    assert agent.relay.state(agent.now) == READY
+
+
+def test_upstream_that_rejects_a_flow_and_serves_another_is_ready():
+    agent = agent_with_balancer(announced=False)
+    rejected = opening_packet(client=('100.64.0.8', 9))
+    offer(agent, rejected)
+    agent.receive_upstream_packet(
+        returned_packet(rejected, tag=balancer_tag(BALANCER))
+    )
+    assert agent.relay.state(agent.now) == DOWN
+    response = upstream_packet(flags=ACKNOWLEDGE, payload=b'HTTP/1.1 200 OK')
+    agent.receive_upstream_packet(response)
+    agent.advance(TICK_SECONDS)
+    assert last_load(agent).state == READY
+
+
+def test_upstream_that_served_long_ago_and_rejects_a_flow_is_down():
+    agent = agent_with_balancer(announced=False)
+    response = upstream_packet(flags=ACKNOWLEDGE, payload=b'HTTP/1.1 200 OK')
+    agent.receive_upstream_packet(response)
+    agent.advance(2.45)
+    agent.receive_message(BALANCER, SUBSCRIBE)
+    rejected = opening_packet(client=('100.64.0.8', 9))
+    offer(agent, rejected)
+    agent.advance(0.06)
+    agent.receive_upstream_packet(
+        returned_packet(rejected, tag=balancer_tag(BALANCER))
+    )
+    assert agent.relay.state(agent.now) == DOWN
+
+
 def test_announced_upstream_that_rejects_a_flow_stays_ready():
     agent = agent_with_balancer()
     packet = opening_packet()
