Take nothing from packets of an earlier flow before a flow is answered

A late packet of an earlier flow from the same client port reaches the agent while the opening packet of a new flow is not answered yet. Its sequence and acknowledgement numbers were recorded for the new flow.

The upstream sends nothing of a flow before its answer, so such packets are sent to the client and not tracked. The new test failed before.

--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -222,8 +222,11 @@
         if packet.accepts:
             flow.mark_answered(packet, now)
             return
-        if flow.state != OFFERED:
-            flow.mark_confirmed()
+        if flow.state == OFFERED:
+            # A late packet of an earlier flow from the same client port: its
+            # numbers say nothing of this flow.
+            return
+        flow.mark_confirmed()
         if packet.resets and flow.requested_at is not None:
             self._performance.record_failure(now=now)
         if flow.track_upstream_packet(packet, now):
--- a/bluebellfold/relay/upstreams/tests/test_load.py
+++ b/bluebellfold/relay/upstreams/tests/test_load.py
@@ -176,6 +176,33 @@
     assert agent.relay.in_flight(agent.now) == 1
 
 
+# Guards against requests that count as none for the life of their flow: a late
+# packet of an earlier flow from the same client port acknowledged numbers that
+# are beyond those of the new flow.
+def test_late_packet_of_an_earlier_flow_acknowledges_nothing():
+    agent = agent_with_balancer()
+    offer(agent)
+    late = upstream_packet(
+        flags=ACKNOWLEDGE,
+        sequence=900_000,
+        acknowledged=1_000_000,
+        payload=b'HTTP/1.1 200 OK',
+    )
+    agent.receive_upstream_packet(late)
+    agent.receive_upstream_packet(ANSWER)
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    assert agent.relay.in_flight(agent.now) == 1
+    response = upstream_packet(
+        flags=ACKNOWLEDGE,
+        sequence=ANSWER_SEQUENCE + 1,
+        acknowledged=DATA.sequence + DATA.payload_bytes,
+        payload=b'HTTP/1.1 200 OK',
+    )
+    agent.receive_upstream_packet(response)
+    assert not agent.relay.in_flight(agent.now)
+    assert agent.transport.to_clients == [late, ANSWER, response]
+
+
 def test_load_is_reported_after_a_change_and_periodically():
     agent = agent_with_balancer()
     agent.transport.sent.clear()
