Reset no flow by a list of agents that is about to be read again

The list counted as complete meanwhile. Another balancer that knew a new agent already could have a flow opened there; when a packet of it came to a balancer that was still waiting, all agents that this one knew denied the flow, and a living flow was reset. Besides, a balancer that was told of the newer list listed all agents anew after 0.3 s, which is less than the wait.

The list now counts as complete as of when it was read until its next call has had time to be answered, so that a flow looked up later waits, and a lost one whose lookup began before the last read doesn't. No new list is asked for before that. The tests of the two faults failed with the wait left out of the balancer. A store that answers the next call late is covered as before only by the revisions that agents pass on.

--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -173,6 +173,7 @@
             self._clock.now(),
             revision=message.revision,
             as_of=message.as_of,
+            next_read_seconds=message.next_read_seconds,
             peer=message.peer,
         )
 
--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -104,11 +104,12 @@
         address: Address,
         now: float,
         *,
-        agents_complete: bool,
+        agents_complete_at: float,
     ) -> None:
         """Look up the flow of a packet that an agent's upstream returned.
 
-        ``agents_complete`` states that no agent is missing from the table.
+        The table has all agents as of ``agents_complete_at``. The flow may be
+        at a later one if its lookup started after that.
         """
         packet = message.packet
         if not self._accept_not_found(packet.flow, address):
@@ -120,7 +121,7 @@
         elif packet not in lookup.queued_packets:
             lookup.enqueue(packet)
         lookup.record_not_found(address)
-        self._conclude(packet.flow, lookup, now, complete=agents_complete)
+        self._conclude(packet.flow, lookup, now, complete_at=agents_complete_at)
 
     def handle_not_found(
         self,
@@ -128,14 +129,16 @@
         address: Address,
         now: float,
         *,
-        agents_complete: bool,
+        agents_complete_at: float,
     ) -> None:
         """Record that an agent's upstream doesn't hold a flow."""
         lookup = self._lookups.find(message.flow)
         if lookup is None or not self._accept_not_found(message.flow, address):
             return
         lookup.record_not_found(address)
-        self._conclude(message.flow, lookup, now, complete=agents_complete)
+        self._conclude(
+            message.flow, lookup, now, complete_at=agents_complete_at
+        )
 
     def handle_presumed_absent(
         self,
@@ -143,14 +146,16 @@
         address: Address,
         now: float,
         *,
-        agents_complete: bool,
+        agents_complete_at: float,
     ) -> None:
         """Record that an agent presumes that its upstream lacks a flow."""
         lookup = self._lookups.find(message.flow)
         if lookup is None:
             return
         lookup.record_presumed_absent(address)
-        self._conclude(message.flow, lookup, now, complete=agents_complete)
+        self._conclude(
+            message.flow, lookup, now, complete_at=agents_complete_at
+        )
 
     def handle_owner(
         self,
@@ -158,7 +163,7 @@
         address: Address,
         now: float,
         *,
-        agents_complete: bool,
+        agents_complete_at: float,
     ) -> None:
         """Forward a flow's packets to the owner that a home agent names."""
         lookup = self._lookups.find(message.flow)
@@ -172,7 +177,9 @@
         view = self._agent_table.find(owner)
         usable = view is not None and not view.is_presumed_dead(now)
         if not usable or lookup.has_denied(owner):
-            self._conclude(message.flow, lookup, now, complete=agents_complete)
+            self._conclude(
+                message.flow, lookup, now, complete_at=agents_complete_at
+            )
             return
         self._journal.count('flows-found-at-home')
         self._assign_owner(message.flow, owner, now)
@@ -191,7 +198,7 @@
         """Assign a flow to the agent that holds it; forward its packets."""
         self._assign_owner(message.flow, address, now)
 
-    def tick(self, now: float, *, agents_complete: bool) -> None:
+    def tick(self, now: float, *, agents_complete_at: float) -> None:
         """Query agents after the homes, again and by a packet, where due."""
         for flow, lookup in self._lookups.list_pending():
             if lookup.homes_failed(now):
@@ -201,7 +208,9 @@
             if lookup.detect_retry_due(now):
                 self._journal.count('lookups-repeated')
                 self._send_queries(flow, lookup, now)
-                self._conclude(flow, lookup, now, complete=agents_complete)
+                self._conclude(
+                    flow, lookup, now, complete_at=agents_complete_at
+                )
             self._send_probes(flow, lookup, now)
 
     def expire(self, now: float) -> None:
@@ -299,12 +308,17 @@
                 self._transport.send_to_agent(view.address, query)
 
     def _conclude(
-        self, flow: bytes, lookup: PendingLookup, now: float, *, complete: bool
+        self,
+        flow: bytes,
+        lookup: PendingLookup,
+        now: float,
+        *,
+        complete_at: float,
     ) -> None:
         """Go on after a denial: ask all agents, or reset the flow."""
         if lookup.homes_failed(now):
             self._query_all_agents(flow, lookup, now)
-        elif complete and not lookup.asks_homes:
+        elif lookup.started_at <= complete_at and not lookup.asks_homes:
             self._reset_if_not_found(flow, lookup, now)
 
     def _reset_if_not_found(
--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -67,6 +67,11 @@
         self._uncertain: set[Address] = set()
         self._queued_packets: list[Packet] = []
 
+    @property
+    def started_at(self) -> float:
+        """Return when the first packet of the lookup arrived."""
+        return self._started_at
+
     @property
     def queued_packets(self) -> list[Packet]:
         """Return the packets to forward to the owner."""
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -45,6 +45,7 @@
 # clients may resume them.
 IDLE_MARGIN_SECONDS = 2.0
 MS_PER_SECOND = 1000
+NEVER = float('-inf')
 
 
 class ClientRelay:
@@ -59,6 +60,8 @@
         '_admission',
         '_agent_table',
         '_agents_as_of',
+        '_agents_read_at',
+        '_agents_read_due',
         '_agents_revision',
         '_evacuations',
         '_flows',
@@ -91,6 +94,8 @@
         self._routes = ActiveRoutes()
         self._agent_table = AgentTable()
         self._agents_as_of = 0
+        self._agents_read_at = NEVER
+        self._agents_read_due = NEVER
         self._agents_revision = 0
         self._newest_agents_revision = NewestVersion()
         self._evacuations = Evacuations()
@@ -187,6 +192,8 @@
 
     def agents_outdated(self, now: float) -> bool:
         """Return whether the agent list has been outdated for too long."""
+        if now < self._agents_read_due:
+            return False
         return self._newest_agents_revision.outdates(self._agents_as_of, now)
 
     def evacuations_outdated(self, now: float) -> bool:
@@ -228,19 +235,23 @@
         *,
         revision: int = 0,
         as_of: int = 0,
+        next_read_seconds: float = 0,
         peer: str = '',
     ) -> None:
         """Replace the list of agents by the given revision of the list.
 
         It has all agents as of the store's revision ``as_of``, also if the
-        agent that was written last has left since. That of a balancer
-        (``peer``) counts only before the store answers.
+        agent that was written last has left since. Changes become known after
+        ``next_read_seconds``. That of a balancer (``peer``) counts only before
+        the store answers.
         """
         if not self._sources.agents.accepts(peer):
             return
         self._sources.agents.record(peer)
         self._agents_revision = revision
         self._agents_as_of = max(as_of, revision)
+        self._agents_read_at = now
+        self._agents_read_due = now + next_read_seconds
         change = self._follower.update_agents(entries, now, revision=revision)
         if change.added or change.removed:
             self._forwarder.update_homes()
@@ -283,7 +294,9 @@
         """Run the timers; call this about twenty times a second."""
         self._detect_pause(now)
         self._admission.tick(now)
-        self._forwarder.tick(now, agents_complete=self._agents_complete)
+        self._forwarder.tick(
+            now, agents_complete_at=self._agents_complete_at(now)
+        )
         for view in self._agent_table.followed:
             if view.detect_unreachable(now):
                 self._journal.log(
@@ -340,9 +353,9 @@
     ) -> None:
         self._detect_pause(now)
         self._agent_table.mark_heard(address, now)
-        complete = self._agents_complete
+        complete_at = self._agents_complete_at(now)
         self._forwarder.handle_returned_packet(
-            message, address, now, agents_complete=complete
+            message, address, now, agents_complete_at=complete_at
         )
 
     @handle_message.register
@@ -351,9 +364,9 @@
     ) -> None:
         self._detect_pause(now)
         self._agent_table.mark_heard(address, now)
-        complete = self._agents_complete
+        complete_at = self._agents_complete_at(now)
         self._forwarder.handle_not_found(
-            message, address, now, agents_complete=complete
+            message, address, now, agents_complete_at=complete_at
         )
 
     @handle_message.register
@@ -362,9 +375,9 @@
     ) -> None:
         self._detect_pause(now)
         self._agent_table.mark_heard(address, now)
-        complete = self._agents_complete
+        complete_at = self._agents_complete_at(now)
         self._forwarder.handle_presumed_absent(
-            message, address, now, agents_complete=complete
+            message, address, now, agents_complete_at=complete_at
         )
 
     @handle_message.register
@@ -387,22 +400,22 @@
     ) -> None:
         self._detect_pause(now)
         self._agent_table.mark_heard(address, now)
-        complete = self._agents_complete
+        complete_at = self._agents_complete_at(now)
         self._forwarder.handle_owner(
-            message, address, now, agents_complete=complete
+            message, address, now, agents_complete_at=complete_at
         )
 
-    @property
-    def _agents_complete(self) -> bool:
+    def _agents_complete_at(self, now: float) -> float:
+        """Return as of when all listed agents are known."""
         # An agent that only other balancers know may hold a flow that no known
         # agent holds. A list from another balancer may lack the newest agents,
         # and before the first list no agent is known at all.
-        return (
-            self._sources.agents.is_store
-            and not self._newest_agents_revision.is_newer_than(
-                self._agents_as_of
-            )
-        )
+        if not self._sources.agents.is_store:
+            return NEVER
+        if self._newest_agents_revision.is_newer_than(self._agents_as_of):
+            return NEVER
+        # Until the list is read again, agents may be listed unnoticed.
+        return self._agents_read_at if now < self._agents_read_due else now
 
     def _apply_evacuations(self, now: float) -> None:
         # The agents that this balancer follows learn it within a tick.
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -142,6 +142,63 @@
     assert balancer.transport.resets == [DATA]
 
 
+# Guards against living flows that are reset while agents list themselves one by
+# one: after each change the list is not read for a time, in which another
+# balancer may already know a new agent and have offered it the flow.
+def test_flow_is_not_reset_before_the_list_is_read_again():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.list_agents((FIRST, SECOND), revision=7, next_read_seconds=0.6)
+    balancer.advance(0.1)
+    deny_everywhere(balancer)
+    balancer.advance(0.3)
+    assert not balancer.transport.resets
+    balancer.list_agents(
+        (FIRST, SECOND, THIRD), revision=8, next_read_seconds=0.6
+    )
+    balancer.advance(0.4)
+    assert not balancer.transport.resets
+    balancer.receive_message(THIRD, FlowFound(flow=DATA.flow))
+    assert (THIRD, ForwardedPacket(packet=DATA)) in balancer.transport.sent
+
+
+def test_lost_flow_is_reset_once_the_list_was_read_again():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.list_agents((FIRST, SECOND), revision=7, next_read_seconds=0.6)
+    balancer.advance(0.1)
+    deny_everywhere(balancer)
+    balancer.list_agents((FIRST, SECOND), revision=8, next_read_seconds=0.6)
+    balancer.advance(0.45)
+    assert balancer.transport.resets == [DATA]
+
+
+def test_lost_flow_is_reset_if_the_list_does_not_change_any_more():
+    balancer = balancer_with(report_of(), report_of())
+    balancer.list_agents((FIRST, SECOND), revision=7, next_read_seconds=0.6)
+    balancer.advance(0.1)
+    deny_everywhere(balancer)
+    balancer.advance(0.85)
+    assert balancer.transport.resets == [DATA]
+
+
+# Guards against a full list of each balancer for each agent that lists itself:
+# the watch was behind by the time for which it waits on purpose.
+def test_list_that_is_read_again_soon_is_not_outdated():
+    balancer = balancer_with(report_of())
+    balancer.list_agents((FIRST,), revision=6, next_read_seconds=0.6)
+    report = report_of(sequence=2, versions=versions_of(agents=7))
+    balancer.receive_message(FIRST, report)
+    balancer.advance(0.5)
+    assert not balancer.relay.agents_outdated(balancer.now)
+    balancer.advance(0.15)
+    assert balancer.relay.agents_outdated(balancer.now)
+
+
+def deny_everywhere(balancer):
+    balancer.receive_packet(DATA)
+    for agent in (FIRST, SECOND):
+        balancer.receive_message(agent, FlowNotFound(flow=DATA.flow))
+
+
 # Guards against FLOW broken by a balancer that started without the store: it
 # knew no agent, and took the denial of one for that of all.
 def test_flow_is_not_reset_before_the_agents_are_listed():
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -33,6 +33,9 @@
 # A response for each of them to each balancer would be most of the calls of a
 # quiet day. A new agent may be known later by this time.
 SETTLE_SECONDS = 0.5
+# The next call is answered within this time after that if the list has changed
+# meanwhile: the store responds in 4 ms, and the process may be busy.
+RESPONSE_SECONDS = 0.1
 # Agents must be listed within 2 s after the store is reachable again.
 RETRY_CAP_SECONDS = 1.0
 MAX_PORT = 65_535
@@ -77,10 +80,17 @@
             for name, entry in self._entries.items()
             if name in listed
         }
-        self.apply(changes)
+        self._update_entries(changes)
+        self._report_entries(changes, next_read_seconds=0)
 
     def apply(self, changes: Changes) -> None:
         """Apply written and deleted entries, and report all of them."""
+        self._update_entries(changes)
+        self._report_entries(
+            changes, next_read_seconds=SETTLE_SECONDS + RESPONSE_SECONDS
+        )
+
+    def _update_entries(self, changes: Changes) -> None:
         for change in changes.changes:
             name = change.stored.name
             if change.deleted:
@@ -97,11 +107,16 @@
             self._newest_revision = max(
                 self._newest_revision, change.stored.revision
             )
+
+    def _report_entries(
+        self, changes: Changes, *, next_read_seconds: float
+    ) -> None:
         self._actor.tell(
             list_agents(
                 self._entries.values(),
                 revision=self._newest_revision,
                 as_of=changes.revision,
+                next_read_seconds=next_read_seconds,
             )
         )
 
@@ -203,6 +218,7 @@
     *,
     revision: int,
     as_of: int = 0,
+    next_read_seconds: float = 0,
     peer: str = '',
 ) -> UpdateAgents:
     """Return the list of agents, one for each address, in order."""
@@ -211,6 +227,7 @@
         entries=tuple(by_address[key] for key in sorted(by_address)),
         revision=revision,
         as_of=as_of,
+        next_read_seconds=next_read_seconds,
         peer=peer,
     )
 
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -36,13 +36,21 @@
     """Replace the list of agents by the given revision of the list.
 
     ``as_of`` is the revision of the store at which it was read, 0 if unknown.
-    ``peer`` is the balancer that had it, empty for the store.
+    Changes become known after ``next_read_seconds``, 0 if a watch is in
+    progress. ``peer`` is the balancer that had it, empty for the store.
     """
 
-    __slots__ = ('_as_of', '_entries', '_peer', '_revision')
+    __slots__ = (
+        '_as_of',
+        '_entries',
+        '_next_read_seconds',
+        '_peer',
+        '_revision',
+    )
 
     as_of: int = read_only('_as_of')
     entries: tuple[AgentEntry, ...] = read_only('_entries')
+    next_read_seconds: float = read_only('_next_read_seconds')
     peer: str = read_only('_peer')
     revision: int = read_only('_revision')
 
@@ -52,9 +60,11 @@
         entries: tuple[AgentEntry, ...],
         revision: int,
         as_of: int = 0,
+        next_read_seconds: float = 0,
         peer: str = '',
     ) -> None:
         self._as_of = as_of
+        self._next_read_seconds = next_read_seconds
         self._entries = entries
         self._revision = revision
         self._peer = peer
--- a/bluebellfold/relay/store/tests/test_agents.py
+++ b/bluebellfold/relay/store/tests/test_agents.py
@@ -13,6 +13,7 @@
     RegisterAgent,
     UpdateAgents,
 )
+from bluebellfold.relay.store.agents import SETTLE_SECONDS
 from bluebellfold.standins.object_api import PlatformStandin
 
 FIRST = ('10.0.0.1', 8172)
@@ -141,6 +142,19 @@
     asyncio.run(run_watched(scenario))
 
 
+# Guards against living flows that are reset: the list counted as complete while
+# the watch waited on purpose after a change.
+def test_change_of_the_list_tells_when_the_list_is_read_next():
+    async def scenario(standin, actor):
+        empty = await actor.wait_for_addresses([])
+        assert empty.next_read_seconds == 0
+        await register(standin, FIRST)
+        changed = await actor.wait_for_addresses([FIRST])
+        assert changed.next_read_seconds > SETTLE_SECONDS
+
+    asyncio.run(run_watched(scenario))
+
+
 # Load pattern: a site starts, and its agents are listed one by one. Guards
 # against a priced call of each balancer for each agent.
 def test_agents_listed_in_quick_succession_come_in_few_responses():
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -234,7 +234,7 @@
     def now(self):
         return self.clock.now()
 
-    def list_agents(self, agents, *, revision=0):
+    def list_agents(self, agents, *, revision=0, **fields):
         """Update the list of agents, given by their addresses or entries."""
         entries = [
             agent
@@ -242,7 +242,7 @@
             else AgentEntry(address=agent)
             for agent in agents
         ]
-        self.relay.update_agents(entries, self.now, revision=revision)
+        self.relay.update_agents(entries, self.now, revision=revision, **fields)
 
     def receive_message(self, address, message):
         self.relay.handle_message(message, address, self.now)
