Presume flows absent at a silent upstream instead of denying them

Since an agent denied all flows once it had heard nothing of its upstream for three announcement intervals since its start. An upstream that stands still looks the same: if its agent was restarted meanwhile, its living flows were reset, though silence of an announced upstream is no evidence.

The agent now presumes them absent. A balancer resets a flow at once if more than three agents presume so, as after a power loss, and otherwise confirms it by a packet of the flow, which the port of an upstream that has left gives back. Such packets leave the presumption in force; a packet of a flow that the upstream holds ends it. Not measured under load.

--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -218,8 +218,9 @@
     def handle_upstream_packet(self, packet: Packet, now: float) -> None:
         """Handle a packet that the upstream sends or returns."""
         self._health.mark_alive(now)
-        self._unknown_flows.record_silent(silent=False)
         self._forwarder.handle_upstream_packet(packet, now)
+        if self._health.has_served:
+            self._unknown_flows.record_silent(silent=False)
 
     def tick(self, now: float) -> None:
         """Act on expired timers; call at the latest when a report is due."""
@@ -312,7 +313,7 @@
     def _observe_silence(self, now: float) -> None:
         self._silence.observe(now)
         self._unknown_flows.record_silent(
-            silent=self._silence.is_long and not self._health.is_heard
+            silent=self._silence.is_long and not self._health.has_served
         )
 
     def _forget_flows(self, reason: str) -> None:
--- a/bluebellfold/relay/upstreams/unknown_flows.py
+++ b/bluebellfold/relay/upstreams/unknown_flows.py
@@ -13,7 +13,8 @@
 alone are no evidence, since clocks are set back and forth: flows of an upstream
 that started before its agent were offered to an earlier agent, by balancers
 that count their offers. Balancers that have restarted count none, so that a
-balancer confirms what few agents presume by a packet of the flow.
+balancer confirms what few agents presume by a packet of the flow. An agent
+whose upstream is silent since the agent's start presumes it as well.
 """
 
 from bluebellfold.core import Record, Sentinel, read_only
@@ -26,8 +27,9 @@
 class Denial(Record):
     """State on which evidence the upstream holds no unknown flow.
 
-    ``presumed`` marks evidence that is wrong if wall clocks were set while
-    every process that knew better was restarted.
+    ``presumed`` marks evidence that may be wrong: wall clocks were set while
+    every process that knew better was restarted, or an upstream stands still
+    that holds flows.
     """
 
     __slots__ = ('_evidence', '_presumed')
@@ -43,7 +45,7 @@
 IDLE_TIME_PASSED = Denial(evidence='idle-time-passed')
 PORT_CLOSED = Denial(evidence='port-closed')
 RETURNED = Denial(evidence='returned-by-upstream')
-SILENT = Denial(evidence='upstream-silent')
+SILENT = Denial(evidence='upstream-silent', presumed=True)
 STARTED_LATER = Denial(evidence='upstream-started-later', presumed=True)
 
 AGENT_STARTED = Sentinel(
@@ -107,10 +109,10 @@
         """
         if flow in self._returned:
             return RETURNED
-        if self._silent:
-            return SILENT
         if now - self._no_packet_since > idle_seconds:
             return self._evidence
+        if self._silent:
+            return SILENT
         is_only_doubt = self._doubt is AGENT_STARTED and self._started_later
         if is_only_doubt and self._predecessor_offers == 0:
             return STARTED_LATER
@@ -131,7 +133,10 @@
         self._predecessor_offers = (self._predecessor_offers or 0) + missed
 
     def record_silent(self, *, silent: bool) -> None:
-        """Record whether the upstream is silent since the agent's start."""
+        """Record whether the upstream is silent since the agent's start.
+
+        It seems to have left, but may also stand still.
+        """
         self._silent = silent
 
     def record_returned(self, flow: bytes) -> None:
