Take a list of agents in pages for complete as of its first page

The list counted as complete up to the greater of the revision of its first page and that of its newest agent. A later page may hold an agent that is newer than another one which was listed after an earlier page was read. Until the next call of the watch, this list passed for complete, and a living flow of the missing agent could be reset. The new test failed before.

--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -249,7 +249,9 @@
             return
         self._sources.agents.record(peer)
         self._agents_revision = revision
-        self._agents_as_of = max(as_of, revision)
+        # A list of several pages may have newer agents and yet lack others: it
+        # is complete as of its first page.
+        self._agents_as_of = as_of or revision
         self._agents_read_at = now
         self._agents_read_due = now + next_read_seconds
         change = self._follower.update_agents(entries, now, revision=revision)
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -142,6 +142,22 @@
     assert balancer.transport.resets == [DATA]
 
 
+# Guards against living flows that are reset while the list is read in pages: an
+# agent listed itself after the page that it belongs to, and the list counted as
+# complete as of the newest agent of a later page.
+def test_list_is_complete_as_of_its_first_page():
+    balancer = balancer_with(
+        report_of(), report_of(versions=versions_of(agents=12))
+    )
+    balancer.list_agents((FIRST, SECOND), revision=12, as_of=10)
+    deny_everywhere(balancer)
+    balancer.advance(0.45)
+    assert not balancer.transport.resets
+    balancer.list_agents((FIRST, SECOND), revision=12, as_of=12)
+    balancer.advance(0.45)
+    assert balancer.transport.resets == [DATA]
+
+
 # Guards against living flows that are reset while agents list themselves one by
 # one: after each change the list is not read for a time, in which another
 # balancer may already know a new agent and have offered it the flow.
