Write the entry of an agent again if it vanishes during the registration

An agent that found an entry in place, and then read it as missing, or whose replacement was refused for a newer revision, took itself for registered. The delayed deletion by its predecessor, or one stale read of the store, was enough. Balancers then never learnt of the agent, and its upstream got no flows until the next start of the agent.

The registration is now retried until the entry is as it should be. The new test failed before. The test that a restarted agent doesn't write its entry again stopped it before its calls; it now waits for its read.

--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -182,17 +182,19 @@
         attempt = 0
         while True:
             try:
-                await self._write_object()
+                written = await self._write_object()
             except StoreError as error:
+                written = False
                 if attempt == 0:
                     log_event(_log, 'BBF0306', problem=error.problem)
-                await asyncio.sleep(self._backoff.delay_seconds(attempt))
-                attempt += 1
-                continue
-            log_event(_log, 'BBF0733', attempt=attempt)
-            return
-
-    async def _write_object(self) -> None:
+            if written:
+                log_event(_log, 'BBF0733', attempt=attempt)
+                return
+            await asyncio.sleep(self._backoff.delay_seconds(attempt))
+            attempt += 1
+
+    async def _write_object(self) -> bool:
+        """Return whether the object is in the store as it should be."""
         # The name is the address of this machine, so an existing object was
         # written by an earlier incarnation of the agent. It is replaced only if
         # it differs.
@@ -204,13 +206,18 @@
             'zone': self._entry.zone,
         }
         if await self._client.create(AGENTS_KIND, name, spec):
-            return
+            return True
         stored = await self._client.read(AGENTS_KIND, name)
-        if stored and stored.spec != spec:
-            await self._client.replace(
-                AGENTS_KIND,
-                StoredObject(name=name, revision=stored.revision, spec=spec),
-            )
+        if not stored:
+            # The deletion by the earlier incarnation took effect just now.
+            return False
+        if stored.spec == spec:
+            return True
+        replaced = await self._client.replace(
+            AGENTS_KIND,
+            StoredObject(name=name, revision=stored.revision, spec=spec),
+        )
+        return bool(replaced)
 
 
 def list_agents(
--- a/bluebellfold/relay/store/tests/test_agents.py
+++ b/bluebellfold/relay/store/tests/test_agents.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bluebellfold.core import Actor, Registry, Stop
+from bluebellfold.platform import ObjectStoreClient
 from bluebellfold.relay.agents import AgentEntry
 from bluebellfold.relay.store import (
     AGENTS_KIND,
@@ -63,13 +64,18 @@
     await running
 
 
-async def register(standin, address):
+def start_registrar(standin, address):
     registrar = AgentRegistrar(
         endpoint=standin.endpoint,
         entry=AgentEntry(address=address, service='counter', zone='a'),
     )
     running = asyncio.create_task(registrar.run())
     registrar.tell(RegisterAgent())
+    return registrar, running
+
+
+async def register(standin, address):
+    registrar, running = start_registrar(standin, address)
     async with asyncio.timeout(5):
         while address[0] not in standin.store.names(AGENTS_KIND):
             await asyncio.sleep(0.01)
@@ -121,12 +127,45 @@
     async def scenario(standin, actor):
         await register(standin, FIRST)
         before = standin.store.revision
-        await register(standin, FIRST)
+        reads = standin.counts.get('read', 0)
+        registrar, running = start_registrar(standin, FIRST)
+        async with asyncio.timeout(5):
+            while standin.counts.get('read', 0) == reads:
+                await asyncio.sleep(0.01)
+        await stop(registrar, running)
         assert standin.store.revision == before
 
     asyncio.run(run_watched(scenario))
 
 
+# Guards against agents that get no flows for good: the delayed deletion by an
+# earlier agent removed the entry while this one found it in place.
+def test_entry_that_vanishes_during_the_registration_is_written_again(
+    monkeypatch,
+):
+    read_object = ObjectStoreClient.read
+
+    async def scenario(standin, _):
+        async def read_vanished(client, kind, name):  # noqa: WPS430
+            monkeypatch.setattr(ObjectStoreClient, 'read', read_object)
+            stored = standin.store.read(kind, name)
+            revision = stored['meta']['Revision']
+            standin.store.delete(kind, name, revision=revision)
+            return await read_object(client, kind, name)
+
+        await register(standin, FIRST)
+        before = standin.store.revision
+        monkeypatch.setattr(ObjectStoreClient, 'read', read_vanished)
+        registrar, running = start_registrar(standin, FIRST)
+        async with asyncio.timeout(5):
+            while standin.store.revision < before + 2:
+                await asyncio.sleep(0.01)
+        assert standin.store.names(AGENTS_KIND)
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
+
+
 # Guards against lookups of lost flows that wait for an agent whose upstream has
 # left: it was listed again when its process was started again.
 def test_agent_that_has_heard_no_upstream_is_not_listed():
