Read deep JSON with an open string in linear time

A text that is nested too deeply for the parser is searched for its brackets, past its strings. A string without an end didn't match, so that the search began anew at each of its quotes. One announcement or copy of 64 KB, the limit of a request, blocked the event loop of an agent or balancer for 7.4 s; a longer file kept `config check` busy for minutes. The new test failed before.

--- a/bluebellfold/platform/json_reader.py
+++ b/bluebellfold/platform/json_reader.py
@@ -25,7 +25,9 @@
     reason='the text is no JSON document',
 )
 
-_STRUCTURE = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+# A string without an end reaches to the end of the text. If it didn't match,
+# the search would go on at each of its quotes, in quadratic time.
+_STRUCTURE = re.compile(r'"(?:[^"\\]|\\.?)*+"?|[\[\]{}]', re.DOTALL)
 _OPENING = '[{'
 
 
--- a/bluebellfold/platform/tests/test_json_reader.py
+++ b/bluebellfold/platform/tests/test_json_reader.py
@@ -1,6 +1,7 @@
 """Test that JSON of any content is read within bounds."""
 
 import json
+import time
 
 import pytest
 from hypothesis import given
@@ -68,3 +69,13 @@
 @pytest.mark.parametrize('body', [b'', b'{', b'[1,]', b'[' * 200_000, b']'])
 def test_text_that_is_no_document_is_unreadable(body):
     assert read_json(body) is UNREADABLE_JSON
+
+
+# Guards against an event loop that one odd body of 64 KB blocks for seconds:
+# the search for strings started anew at each quote of a string without an end.
+@pytest.mark.parametrize('end', [b'', b'\\'])
+def test_deep_text_with_an_open_string_is_read_in_linear_time(end):
+    body = b'[' * 3_000 + b'"' + rb'\"' * 30_000 + end
+    started = time.perf_counter()
+    assert read_json(body) is UNREADABLE_JSON
+    assert time.perf_counter() - started < 1
