Find wrong service names beside a problem in another field

Errors of `config check` appeared only once others were corrected: a problem in any field of any service left out the routes to missing services (RC205), and one in any route the services without a route (RC206). The new test failed before in two of five cases.

--- a/bluebellfold/operators/routing_checks.py
+++ b/bluebellfold/operators/routing_checks.py
@@ -156,9 +156,9 @@
 @rule('RC205', ERROR, 'a route leads to a service that is not listed')
 def check_missing_services(checked: CheckInput) -> Findings:
     """Yield each route to a missing service."""
-    if _has_problem_in(checked, document.SERVICES.key):
+    listed = checked.configuration.listed_services
+    if listed is None:
         return
-    listed = {entry.service.name for entry in checked.configuration.services}
     for entry in checked.configuration.routes:
         for share in entry.route.shares:
             name = share.service
@@ -173,13 +173,9 @@
 @rule('RC206', WARNING, 'a service has no route')
 def check_unused_services(checked: CheckInput) -> Findings:
     """Yield each service that no route leads to."""
-    if _has_problem_in(checked, document.ROUTES.key):
+    used = checked.configuration.routed_services
+    if used is None:
         return
-    used = {
-        share.service
-        for entry in checked.configuration.routes
-        for share in entry.route.shares
-    }
     for entry in checked.configuration.services:
         name = entry.service.name
         if name not in used:
@@ -216,10 +212,3 @@
                 expected=f'a name other than {name}, which is taken',
                 remedy='rename one of the entries',
             )
-
-
-def _has_problem_in(checked: CheckInput, part: str) -> bool:
-    return any(
-        problem.path.startswith(part)
-        for problem in checked.configuration.problems
-    )
--- a/bluebellfold/operators/tests/test_routing_checks.py
+++ b/bluebellfold/operators/tests/test_routing_checks.py
@@ -181,6 +181,26 @@
     }
 
 
+# Guards against errors that appear only once others are corrected: a problem in
+# any field of a service or route hid what is wrong between the entries.
+@pytest.mark.parametrize(
+    ('place', 'codes'),
+    [
+        (('Services', 1, 'Tls'), ['RC101', 'RC205', 'RC206']),
+        (('Services', 1, 'Name'), ['RC101', 'RC206']),
+        (('Routes', 1, 'Priority'), ['RC101', 'RC205', 'RC206']),
+        (('Routes', 1, 'TrafficSplit'), ['RC101', 'RC205']),
+        (('Routes', 1), ['RC101', 'RC205']),
+    ],
+)
+def test_problem_in_one_field_hides_no_other_error(place, codes):
+    document = change(place, -7)
+    shares = document['Routes'][0]['TrafficSplit']
+    shares[0]['Service'] = 'missing'
+    document['Services'].append({**SERVICE, 'Name': 'unused'})
+    assert find_codes(document) == codes
+
+
 def test_differences_are_sorted_by_risk():
     wanted = change(('Limits', 'IdleTimeoutMs'), 14000)
     wanted['Limits']['MaxBodyBytes'] += 1
--- a/bluebellfold/platform/configuration_reader.py
+++ b/bluebellfold/platform/configuration_reader.py
@@ -114,12 +114,17 @@
     ``unknown_paths`` are those of fields that neither the processes nor the
     platform know.
     ``version`` and ``idle_seconds`` are None if they are unreadable.
+    ``listed_services`` and ``routed_services`` are the names of all services,
+    and of all that routes lead to, also those of entries with a problem in
+    another field. They are None if one of the names is unreadable.
     """
 
     __slots__ = (
         '_idle_seconds',
         '_limits',
+        '_listed_services',
         '_problems',
+        '_routed_services',
         '_routes',
         '_services',
         '_unknown_paths',
@@ -128,7 +133,9 @@
 
     idle_seconds: float | None = read_only('_idle_seconds')
     limits: dict[str, float] = read_only('_limits')
+    listed_services: frozenset[str] | None = read_only('_listed_services')
     problems: tuple[FieldProblem, ...] = read_only('_problems')
+    routed_services: frozenset[str] | None = read_only('_routed_services')
     routes: tuple[RouteEntry, ...] = read_only('_routes')
     services: tuple[ServiceEntry, ...] = read_only('_services')
     unknown_paths: tuple[str, ...] = read_only('_unknown_paths')
@@ -143,11 +150,15 @@
         routes: tuple[RouteEntry, ...],
         services: tuple[ServiceEntry, ...],
         problems: tuple[FieldProblem, ...],
+        listed_services: frozenset[str] | None = None,
+        routed_services: frozenset[str] | None = None,
         unknown_paths: tuple[str, ...] = (),
     ) -> None:
         self._version = version
         self._idle_seconds = idle_seconds
         self._limits = limits
+        self._listed_services = listed_services
+        self._routed_services = routed_services
         self._routes = routes
         self._services = services
         self._problems = problems
@@ -176,16 +187,18 @@
         )
     limits = limits or {}
     idle_ms = limits.get(document.IDLE_TIMEOUT.key)
-    routes = reader.read(document.ROUTES, spec, '') or ()
-    services = reader.read(document.SERVICES, spec, '') or ()
+    routes = reader.read(document.ROUTES, spec, '')
+    services = reader.read(document.SERVICES, spec, '')
+    route_entries = tuple(map(reader.read_route, *_number(routes or ())))
+    service_entries = tuple(map(reader.read_service, *_number(services or ())))
     return Configuration(
         version=version,
         idle_seconds=None if idle_ms is None else idle_ms / MS_PER_SECOND,
         limits=limits,
-        routes=tuple(filter(None, map(reader.read_route, *_number(routes)))),
-        services=tuple(
-            filter(None, map(reader.read_service, *_number(services)))
-        ),
+        routes=tuple(filter(None, route_entries)),
+        services=tuple(filter(None, service_entries)),
+        listed_services=reader.collect_listed_services(),
+        routed_services=reader.collect_routed_services(),
         problems=reader.problems,
         unknown_paths=reader.unknown_paths,
     )
@@ -219,11 +232,19 @@
 
 
 class _Reader:
-    """Collect the problems of one document."""
+    """Collect the problems of one document, and the names of its services."""
 
-    __slots__ = ('_problems', '_unknown_paths')
+    __slots__ = (
+        '_listed_services',
+        '_problems',
+        '_routed_services',
+        '_unknown_paths',
+    )
 
     def __init__(self) -> None:
+        # None stands for an unreadable name.
+        self._listed_services: set[str | None] = set()
+        self._routed_services: set[str | None] = set()
         self._problems: list[FieldProblem] = []
         self._unknown_paths: list[str] = []
 
@@ -248,6 +269,14 @@
                 shown = key if is_text(key) else ascii(key[:MAX_TEXT])
                 self._unknown_paths.append(join_path(path, shown))
 
+    def collect_listed_services(self) -> frozenset[str] | None:
+        """Return the names of all services, None if one is unreadable."""
+        return self._collect(self._listed_services, document.SERVICES)
+
+    def collect_routed_services(self) -> frozenset[str] | None:
+        """Return the services of all routes, None if one is unreadable."""
+        return self._collect(self._routed_services, document.ROUTES)
+
     def report(self, path: str, expected: str) -> None:
         """Add a problem."""
         self._problems.append(FieldProblem(path=path, expected=expected))
@@ -287,6 +316,8 @@
         )
         if known:
             self._read_shares(fields, known[document.SPLIT.key], path)
+        else:
+            self._routed_services.add(None)
         if len(self._problems) > before:
             return None
         return RouteEntry(
@@ -301,6 +332,7 @@
         path = index_path(document.SERVICES.key, index)
         before = len(self._problems)
         known = self.read_all(document.SERVICE_FIELDS, fields, path)
+        self._listed_services.add(known.get(document.NAME.key))
         if len(self._problems) > before:
             return None
         return ServiceEntry(
@@ -313,12 +345,24 @@
 
     def _read_shares(self, fields: Any, split: Any, path: str) -> None:
         if not fields.get(document.SPLIT.key):
-            self.read(document.SERVICE, fields, path)
+            self._routed_services.add(self.read(document.SERVICE, fields, path))
+            return
+        if split is None:
+            self._routed_services.add(None)
             return
         split_path = join_path(path, document.SPLIT.key)
-        for index, part in enumerate(split or ()):
+        for index, part in enumerate(split):
             part_path = index_path(split_path, index)
-            self.read_all(document.SHARE_FIELDS, part, part_path)
+            share = self.read_all(document.SHARE_FIELDS, part, part_path)
+            self._routed_services.add(share.get(document.SERVICE.key))
+
+    def _collect(
+        self, names: set[str | None], part: Field
+    ) -> frozenset[str] | None:
+        if any(problem.path == part.key for problem in self._problems):
+            return None
+        readable = frozenset(name for name in names if name is not None)
+        return readable if len(readable) == len(names) else None
 
 
 def _number(entries: Iterable[Any]) -> tuple[Iterable[int], Iterable[Any]]:
