Report a renamed route as changed, not as removed

A route that kept its address under another name was listed first among the differences, as one whose open flows are dropped. Flows are routed by address, so that they stay. The new test failed before.

--- a/bluebellfold/operators/routing_diff.py
+++ b/bluebellfold/operators/routing_diff.py
@@ -60,13 +60,24 @@
 ) -> Differences:
     old = {entry.route.name: entry for entry in current.routes}
     new = {entry.route.name: entry for entry in wanted.routes}
+    added = new.keys() - old.keys()
+    added_by_address = {new[name].route.address: name for name in added}
     for name in old.keys() - new.keys():
-        yield Difference(
-            risk=Risk.removed_route,
-            name=f'route {name}',
-            effect='removed: its open flows are dropped',
-        )
-    for name in new.keys() - old.keys():
+        successor = added_by_address.get(old[name].route.address)
+        if successor is None:
+            yield Difference(
+                risk=Risk.removed_route,
+                name=f'route {name}',
+                effect='removed: its open flows are dropped',
+            )
+        else:
+            added.discard(successor)
+            yield Difference(
+                risk=Risk.changed_route,
+                name=f'route {name}',
+                effect=f'renamed to {successor}: new flows follow its fields',
+            )
+    for name in added:
         yield Difference(risk=Risk.added, name=f'route {name}', effect='added')
     for name in old.keys() & new.keys():
         if old[name].route.address != new[name].route.address:
--- a/bluebellfold/operators/tests/test_routing_checks.py
+++ b/bluebellfold/operators/tests/test_routing_checks.py
@@ -233,6 +233,19 @@
     assert [found.risk for found in differences] == [Risk.changed_route]
 
 
+# Guards against a report that open flows are dropped where they are not: a
+# route with another name on the same address takes them over.
+def test_renamed_route_is_a_changed_one():
+    differences = compare_configurations(
+        read_configuration(DOCUMENT),
+        read_configuration(change(('Routes', 0, 'Name'), 'payments')),
+    )
+    assert [(found.risk, found.name) for found in differences] == [
+        (Risk.changed_route, 'route orders')
+    ]
+    assert 'payments' in differences[0].effect
+
+
 def test_unreadable_route_is_not_reported_as_removed():
     current = read_configuration(DOCUMENT)
     wanted = read_configuration(change(('Routes', 0, 'TimeoutMs'), '2 s'))
