--- a/bluebellfold/operators/tests/test_routing_checks.py
+++ b/bluebellfold/operators/tests/test_routing_checks.py
@@ -246,6 +246,13 @@
     assert 'payments' in differences[0].effect
 
 
+def test_number_in_another_notation_is_no_difference():
+    assert not compare_configurations(
+        read_configuration(DOCUMENT),
+        read_configuration(change(('Services', 0, 'WarmupPerS'), 10.0)),
+    )
+
+
 def test_unreadable_route_is_not_reported_as_removed():
     current = read_configuration(DOCUMENT)
     wanted = read_configuration(change(('Routes', 0, 'TimeoutMs'), '2 s'))
--- a/bluebellfold/platform/configuration_reader.py
+++ b/bluebellfold/platform/configuration_reader.py
@@ -77,12 +77,12 @@
 class ServiceEntry(Record):
     """Hold a readable service and its place in the document.
 
-    ``fields`` are all fields as text, to compare two versions.
+    ``fields`` are all fields with their keys, to compare two versions.
     """
 
     __slots__ = ('_fields', '_max_connections', '_path', '_service', '_warmup')
 
-    fields: tuple[str, ...] = read_only('_fields')
+    fields: tuple[tuple[str, Any], ...] = read_only('_fields')
     max_connections: int = read_only('_max_connections')
     path: str = read_only('_path')
     service: RoutedService = read_only('_service')
@@ -95,7 +95,7 @@
         service: RoutedService,
         max_connections: int,
         warmup_seconds: float,
-        fields: tuple[str, ...],
+        fields: tuple[tuple[str, Any], ...],
     ) -> None:
         self._path = path
         self._service = service
@@ -340,7 +340,7 @@
             service=decode_service(fields),
             max_connections=known[document.MAX_CONNECTIONS.key],
             warmup_seconds=known[document.WARMUP_TIME.key],
-            fields=tuple(map(str, known.items())),
+            fields=tuple(known.items()),
         )
 
     def _read_shares(self, fields: Any, split: Any, path: str) -> None:
