Report a limit that is left out as removed, not as lowered to 0

The default of a field that no process reads stood in for a limit that one of two versions left out, so that its removal was reported as "lowered to 0" and its addition as "raised". Both now count as the risk of a lowered limit, since what the platform does without the limit isn't known to the check. The new test failed before.

--- a/bluebellfold/operators/routing_diff.py
+++ b/bluebellfold/operators/routing_diff.py
@@ -121,17 +121,20 @@
 def _compare_limits(
     current: Configuration, wanted: Configuration
 ) -> Differences:
-    for name in current.limits.keys() & wanted.limits.keys():
-        old, new = current.limits[name], wanted.limits[name]
-        if None in {old, new} or old == new:
+    for name in current.limits.keys() | wanted.limits.keys():
+        old, new = current.limits.get(name), wanted.limits.get(name)
+        if old == new:
             continue
-        if new < old:
-            risk, effect = Risk.lowered_limit, 'lowered'
+        risk = Risk.lowered_limit
+        if new is None:
+            effect = 'removed'
+        elif old is None:
+            effect = f'added: {new}'
+        elif new < old:
+            effect = f'lowered to {new}'
         else:
-            risk, effect = Risk.raised_limit, 'raised'
-        yield Difference(
-            risk=risk, name=f'limit {name}', effect=f'{effect} to {new}'
-        )
+            risk, effect = Risk.raised_limit, f'raised to {new}'
+        yield Difference(risk=risk, name=f'limit {name}', effect=effect)
 
 
 def _sort_key(difference: Difference) -> tuple[Risk, str]:
--- a/bluebellfold/operators/tests/test_routing_checks.py
+++ b/bluebellfold/operators/tests/test_routing_checks.py
@@ -253,6 +253,21 @@
     )
 
 
+# Guards against a limit that is left out and reported as one of 0.
+@pytest.mark.parametrize('removed', [True, False])
+def test_limit_that_only_one_version_has_is_a_difference(removed):
+    whole = read_configuration(DOCUMENT)
+    document = change(('Limits', 'MaxBodyBytes'), 0)
+    document['Limits'].pop('MaxBodyBytes')
+    part = read_configuration(document)
+    versions = (whole, part) if removed else (part, whole)
+    differences = compare_configurations(*versions)
+    effect = 'removed' if removed else 'added: 65536'
+    assert [(found.risk, found.effect) for found in differences] == [
+        (Risk.lowered_limit, effect)
+    ]
+
+
 def test_unreadable_route_is_not_reported_as_removed():
     current = read_configuration(DOCUMENT)
     wanted = read_configuration(change(('Routes', 0, 'TimeoutMs'), '2 s'))
--- a/bluebellfold/platform/configuration_reader.py
+++ b/bluebellfold/platform/configuration_reader.py
@@ -114,6 +114,7 @@
     ``unknown_paths`` are those of fields that neither the processes nor the
     platform know.
     ``version`` and ``idle_seconds`` are None if they are unreadable.
+    ``limits`` has the limits that the document states, by key.
     ``listed_services`` and ``routed_services`` are the names of all services,
     and of all that routes lead to, also those of entries with a problem in
     another field. They are None if one of the names is unreadable.
@@ -180,12 +181,14 @@
         )
     reader.note_unknown(document.DOCUMENT_FIELDS, spec, '')
     version = reader.read(document.VERSION, spec, '')
-    limits = reader.read(document.LIMITS, spec, '')
-    if limits is not None:
+    stated = reader.read(document.LIMITS, spec, '')
+    limits: dict[str, Any] = {}
+    if stated is not None:
         limits = reader.read_all(
-            document.LIMIT_FIELDS, limits, document.LIMITS.key
+            document.LIMIT_FIELDS, stated, document.LIMITS.key
         )
-    limits = limits or {}
+        # The default of a limit that is left out is no limit of the document.
+        limits = {key: limits[key] for key in limits.keys() & stated.keys()}
     idle_ms = limits.get(document.IDLE_TIMEOUT.key)
     routes = reader.read(document.ROUTES, spec, '')
     services = reader.read(document.SERVICES, spec, '')
