Refuse to compare a configuration with a file that is no JSON object

It now ends with exit code 2 and a remedy. What the store holds may still be anything, since it has to be replaceable. The new test failed before.

--- a/bluebellfold/operators/check_commands.py
+++ b/bluebellfold/operators/check_commands.py
@@ -32,6 +32,7 @@
 from bluebellfold.platform import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    DOCUMENT_ROOT,
     MISSING_OBJECT,
     Configuration,
     ObjectStoreClient,
@@ -132,12 +133,23 @@
 
 def _read_current(options: CheckOptions) -> Configuration | None:
     if options.against:
-        return read_configuration(read_json(_read_file(options.against)))
+        return _read_given(options.against)
     if options.store:
         return asyncio.run(_read_stored(options.store))
     return None
 
 
+def _read_given(path: str) -> Configuration:
+    current = read_configuration(read_json(_read_file(path)))
+    if any(problem.path == DOCUMENT_ROOT for problem in current.problems):
+        # A stored document may be anything; a file is a wrong one.
+        raise SettingsError(
+            problem=f'--against {path}: not a JSON object',
+            remedy='give the file that holds the version in force',
+        )
+    return current
+
+
 async def _read_stored(address: str) -> Configuration | None:
     client = ObjectStoreClient(endpoint=_read_address(address))
     try:
--- a/bluebellfold/operators/tests/test_check_commands.py
+++ b/bluebellfold/operators/tests/test_check_commands.py
@@ -131,6 +131,18 @@
     assert 'remedy' in capsys.readouterr().err
 
 
+# Guards against a check that is clean though nothing was compared.
+@pytest.mark.parametrize('content', [b'{"Version": 7,', b'[]', b'\0'])
+def test_unreadable_file_to_compare_with_exits_2(tmp_path, capsys, content):
+    path = write_document(tmp_path, DOCUMENT)
+    current = tmp_path / 'current.json'
+    current.write_bytes(content)
+    assert (
+        run_command(['config', 'check', path, '--against', str(current)]) == 2
+    )
+    assert 'remedy' in capsys.readouterr().err
+
+
 def test_random_file_ends_in_a_report(tmp_path, capsys):
     path = tmp_path / 'main.json'
     path.write_bytes(os.urandom(1000))
