Hide no open flow behind a late copy of its opening packet

A copy of an opening packet that reached an agent after its restart was admitted as a new flow, though the upstream held it already. Until the upstream answered, and for good once the client had received data past the earlier agent, the agent then denied the packets of the flow, and balancers reset a living flow.

While an agent can't tell that its upstream doesn't hold a flow, it looks at an unanswered one as at an unknown flow, and accepts acknowledgements of data that it hasn't seen. Two tests of the exact bound now begin with an agent whose flow table is complete, since the bound isn't exact before.

--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -83,9 +83,7 @@
             self._decline(message, reason, address, now)
             return
         if flow is None:
-            flow = self._flows.add(packet.flow, state=OFFERED, now=now)
-            self._unknown_flows.record_offered(packet.flow)
-            self._reporter.count_arrival(now)
+            flow = self._add_flow(packet.flow, now)
         flow.mark_offered(packet, address, now)
         self._reporter.mark_changed()
         # Without this report within 0.1 s, the balancer offers the flow to
@@ -108,6 +106,17 @@
                 ),
             )
 
+    def _add_flow(self, key: bytes, now: float) -> UpstreamFlow:
+        judgement = self._unknown_flows.judge(
+            key, now, idle_seconds=self._reporter.idle_seconds
+        )
+        flow = self._flows.add(key, state=OFFERED, now=now)
+        if not judgement or judgement.presumed:
+            flow.mark_older()
+        self._unknown_flows.record_offered(key)
+        self._reporter.count_arrival(now)
+        return flow
+
     def _decline(
         self, message: Offer, reason: int, address: Address, now: float
     ) -> None:
--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -42,6 +42,7 @@
         '_hung',
         '_in_flight_at_arrival',
         '_last_packet_at',
+        '_may_be_older',
         '_opening_packet',
         '_out_of_order',
         '_received_at',
@@ -73,6 +74,7 @@
         self._upstream_finished = False
         self._client_finished = False
         self._confirmed = False
+        self._may_be_older = False
         self._in_flight_at_arrival = 0
         self._request_end: int | None = None
         self._received_at: float | None = None
@@ -93,6 +95,11 @@
         """Tell whether the upstream has shown that it holds the flow."""
         return self._confirmed
 
+    @property
+    def may_be_older(self) -> bool:
+        """Tell whether the flow may have opened before the agent saw it."""
+        return self._may_be_older
+
     @property
     def opening_packet(self) -> Packet | None:
         """Return the opening packet, None once the flow is open."""
@@ -145,6 +152,13 @@
         self._balancer = balancer
         self._last_packet_at = now
 
+    def mark_older(self) -> None:
+        """Record that the flow may have opened before the agent saw it.
+
+        The opening packet that is offered may be a late copy.
+        """
+        self._may_be_older = True
+
     def mark_answered(self, packet: Packet, now: float) -> None:
         """Record the upstream's answer to the opening packet."""
         self._last_packet_at = now
@@ -171,6 +185,9 @@
         )
         if self._upstream_initial_sequence is None:
             highest += _ACKNOWLEDGED_AHEAD_BYTES
+        elif self._may_be_older:
+            # The upstream may have sent data past an earlier agent.
+            highest += _MAX_UNACKNOWLEDGED_BYTES
         offset = (acknowledged - lowest) % _SEQUENCE_SPACE
         # The end of a flow takes one sequence number.
         return (
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -76,7 +76,7 @@
     ) -> None:
         """Reply to a balancer that asks whether the upstream holds a flow."""
         flow = self._flows.find(message.flow)
-        if flow is None:
+        if flow is None or _may_be_open_unseen(flow):
             reply = self._reply_unknown(message.flow, now)
         elif flow.accepts_acknowledgement(message.acknowledged):
             reply = FlowFound(flow=message.flow)
@@ -89,7 +89,7 @@
     ) -> None:
         """Forward a client's packet to the upstream if it holds the flow."""
         flow = self._flows.find(packet.flow)
-        if flow is None:
+        if flow is None or _may_be_open_unseen(flow):
             self._forward_unknown_flow(packet, address, now)
             return
         if not flow.accepts_acknowledgement(packet.acknowledged):
@@ -115,7 +115,8 @@
         if packet.resets and (flow is None or flow.state != OPEN):
             self._suppress_reset(packet, flow, now)
             return
-        if flow is None:
+        is_unseen = flow is not None and _may_be_open_unseen(flow)
+        if flow is None or (is_unseen and not packet.accepts):
             flow = self._learn_flow(packet, now)
         if not packet.resets:
             self._health.mark_served(now)
@@ -182,7 +183,10 @@
         if balancer is None:
             balancer = self._find_prober(packet)
         self._probes.pop(packet.flow, None)
-        if flow is not None:
+        if flow is not None and _may_be_open_unseen(flow) and not packet.opens:
+            # A packet of an earlier flow; the opening goes on.
+            self._journal.count('returned-while-opening')
+        elif flow is not None:
             self._flows.remove(packet.flow)
             self._reporter.mark_changed()
         elif not packet.opens:
@@ -309,3 +313,11 @@
             status=status,
             milliseconds=round(seconds * MS_PER_SECOND),
         )
+
+
+def _may_be_open_unseen(flow: UpstreamFlow) -> bool:
+    """Tell whether the upstream may have opened a flow that it hasn't answered.
+
+    The opening packet may be a late copy, which the upstream may ignore.
+    """
+    return flow.state == OFFERED and flow.may_be_older
--- a/bluebellfold/relay/upstreams/tests/test_forwarding.py
+++ b/bluebellfold/relay/upstreams/tests/test_forwarding.py
@@ -86,7 +86,7 @@
 
 
 def test_packet_that_acknowledges_unsent_data_is_returned():
-    agent = agent_with_balancer()
+    agent = with_complete_flow_table(agent_with_balancer())
     offer(agent)
     agent.receive_upstream_packet(ANSWER)
     mismatched = client_packet(
@@ -96,6 +96,54 @@
     assert agent.transport.pop_messages(ReturnedPacket)
 
 
+# Guards against living flows that are reset: a copy of the opening packet came
+# to an agent after its restart, which took the flow for a new one and denied
+# what the client had received before.
+def test_late_copy_of_an_opening_packet_hides_no_open_flow():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.receive_upstream_packet(ANSWER)
+    later = client_packet(
+        flags=ACKNOWLEDGE,
+        acknowledged=ANSWER_SEQUENCE + 500,
+        payload=b'GET /next',
+    )
+    agent.receive_message(BALANCER, ForwardedPacket(packet=later))
+    assert agent.transport.delivered[-1] == later
+    assert not agent.transport.pop_messages(ReturnedPacket)
+
+
+def test_late_copy_that_the_upstream_ignores_hides_no_open_flow():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.receive_message(BALANCER, LOOKUP)
+    assert agent.transport.pop_messages(FlowUncertain)
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    assert agent.transport.delivered[-1] == DATA
+    response = upstream_packet(
+        flags=ACKNOWLEDGE, sequence=ANSWER_SEQUENCE + 1, payload=b'HTTP/1.1 200'
+    )
+    agent.receive_upstream_packet(response)
+    assert agent.transport.pop_messages(FlowFound)
+    agent.advance(0.2)
+    assert not agent.transport.pop_messages(Declined)
+    agent.receive_message(BALANCER, LOOKUP)
+    assert agent.transport.pop_messages(FlowFound)
+
+
+def test_packet_of_an_earlier_flow_does_not_end_an_opening():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    agent.receive_upstream_packet(
+        returned_packet(DATA, tag=balancer_tag(BALANCER))
+    )
+    assert agent.transport.pop_messages(ReturnedPacket)
+    agent.receive_upstream_packet(ANSWER)
+    agent.receive_message(BALANCER, LOOKUP)
+    assert agent.transport.pop_messages(FlowFound)
+
+
 def test_reset_by_the_upstream_does_not_add_a_flow():
     # An upstream resets a half-open flow that has timed out, while another
     # upstream may serve the client.
--- a/bluebellfold/relay/upstreams/tests/test_load.py
+++ b/bluebellfold/relay/upstreams/tests/test_load.py
@@ -22,6 +22,7 @@
     agent_with_flow,
     last_load,
     offer,
+    with_complete_flow_table,
 )
 from bluebellfold.standins.packets import (
     ACKNOWLEDGE,
@@ -180,7 +181,7 @@
 # packet of an earlier flow from the same client port acknowledged numbers that
 # are beyond those of the new flow.
 def test_late_packet_of_an_earlier_flow_acknowledges_nothing():
-    agent = agent_with_balancer()
+    agent = with_complete_flow_table(agent_with_balancer())
     offer(agent)
     late = upstream_packet(
         flags=ACKNOWLEDGE,
