--- a/bluebellfold/operators/routing_diff.py
+++ b/bluebellfold/operators/routing_diff.py
@@ -60,13 +60,24 @@
 ) -> Differences:
     old = {entry.route.name: entry for entry in current.routes}
     new = {entry.route.name: entry for entry in wanted.routes}
+    added = new.keys() - old.keys()
+    added_by_address = {new[name].route.address: name for name in added}
     for name in old.keys() - new.keys():
-        yield Difference(
-            risk=Risk.removed_route,
-            name=f'route {name}',
-            effect='removed: its open flows are dropped',
-        )
-    for name in new.keys() - old.keys():
+        successor = added_by_address.get(old[name].route.address)
+        if successor is None:
+            yield Difference(
+                risk=Risk.removed_route,
+                name=f'route {name}',
+                effect='removed: its open flows are dropped',
+            )
+        else:
+            added.discard(successor)
+            yield Difference(
+                risk=Risk.changed_route,
+                name=f'route {name}',
+                effect=f'renamed to {successor}: new flows follow its fields',
+            )
+    for name in added:
         yield Difference(risk=Risk.added, name=f'route {name}', effect='added')
     for name in old.keys() & new.keys():
         if old[name].route.address != new[name].route.address:
@@ -110,17 +121,20 @@
 def _compare_limits(
     current: Configuration, wanted: Configuration
 ) -> Differences:
-    for name in current.limits.keys() & wanted.limits.keys():
-        old, new = current.limits[name], wanted.limits[name]
-        if None in {old, new} or old == new:
+    for name in current.limits.keys() | wanted.limits.keys():
+        old, new = current.limits.get(name), wanted.limits.get(name)
+        if old == new:
             continue
-        if new < old:
-            risk, effect = Risk.lowered_limit, 'lowered'
+        risk = Risk.lowered_limit
+        if new is None:
+            effect = 'removed'
+        elif old is None:
+            effect = f'added: {new}'
+        elif new < old:
+            effect = f'lowered to {new}'
         else:
-            risk, effect = Risk.raised_limit, 'raised'
-        yield Difference(
-            risk=risk, name=f'limit {name}', effect=f'{effect} to {new}'
-        )
+            risk, effect = Risk.raised_limit, f'raised to {new}'
+        yield Difference(risk=risk, name=f'limit {name}', effect=effect)
 
 
 def _sort_key(difference: Difference) -> tuple[Risk, str]:
--- a/bluebellfold/operators/tests/test_routing_checks.py
+++ b/bluebellfold/operators/tests/test_routing_checks.py
@@ -181,6 +181,26 @@
     }
 
 
+# Guards against errors that appear only once others are corrected: a problem in
+# any field of a service or route hid what is wrong between the entries.
+@pytest.mark.parametrize(
+    ('place', 'codes'),
+    [
+        (('Services', 1, 'Tls'), ['RC101', 'RC205', 'RC206']),
+        (('Services', 1, 'Name'), ['RC101', 'RC206']),
+        (('Routes', 1, 'Priority'), ['RC101', 'RC205', 'RC206']),
+        (('Routes', 1, 'TrafficSplit'), ['RC101', 'RC205']),
+        (('Routes', 1), ['RC101', 'RC205']),
+    ],
+)
+def test_problem_in_one_field_hides_no_other_error(place, codes):
+    document = change(place, -7)
+    shares = document['Routes'][0]['TrafficSplit']
+    shares[0]['Service'] = 'missing'
+    document['Services'].append({**SERVICE, 'Name': 'unused'})
+    assert find_codes(document) == codes
+
+
 def test_differences_are_sorted_by_risk():
     wanted = change(('Limits', 'IdleTimeoutMs'), 14000)
     wanted['Limits']['MaxBodyBytes'] += 1
@@ -213,6 +233,41 @@
     assert [found.risk for found in differences] == [Risk.changed_route]
 
 
+# Guards against a report that open flows are dropped where they are not: a
+# route with another name on the same address takes them over.
+def test_renamed_route_is_a_changed_one():
+    differences = compare_configurations(
+        read_configuration(DOCUMENT),
+        read_configuration(change(('Routes', 0, 'Name'), 'payments')),
+    )
+    assert [(found.risk, found.name) for found in differences] == [
+        (Risk.changed_route, 'route orders')
+    ]
+    assert 'payments' in differences[0].effect
+
+
+def test_number_in_another_notation_is_no_difference():
+    assert not compare_configurations(
+        read_configuration(DOCUMENT),
+        read_configuration(change(('Services', 0, 'WarmupPerS'), 10.0)),
+    )
+
+
+# Guards against a limit that is left out and reported as one of 0.
+@pytest.mark.parametrize('removed', [True, False])
+def test_limit_that_only_one_version_has_is_a_difference(removed):
+    whole = read_configuration(DOCUMENT)
+    document = change(('Limits', 'MaxBodyBytes'), 0)
+    document['Limits'].pop('MaxBodyBytes')
+    part = read_configuration(document)
+    versions = (whole, part) if removed else (part, whole)
+    differences = compare_configurations(*versions)
+    effect = 'removed' if removed else 'added: 65536'
+    assert [(found.risk, found.effect) for found in differences] == [
+        (Risk.lowered_limit, effect)
+    ]
+
+
 def test_unreadable_route_is_not_reported_as_removed():
     current = read_configuration(DOCUMENT)
     wanted = read_configuration(change(('Routes', 0, 'TimeoutMs'), '2 s'))
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -33,6 +33,9 @@
 # A response for each of them to each balancer would be most of the calls of a
 # quiet day. A new agent may be known later by this time.
 SETTLE_SECONDS = 0.5
+# The next call is answered within this time after that if the list has changed
+# meanwhile: the store responds in 4 ms, and the process may be busy.
+RESPONSE_SECONDS = 0.1
 # Agents must be listed within 2 s after the store is reachable again.
 RETRY_CAP_SECONDS = 1.0
 MAX_PORT = 65_535
@@ -77,10 +80,17 @@
             for name, entry in self._entries.items()
             if name in listed
         }
-        self.apply(changes)
+        self._update_entries(changes)
+        self._report_entries(changes, next_read_seconds=0)
 
     def apply(self, changes: Changes) -> None:
         """Apply written and deleted entries, and report all of them."""
+        self._update_entries(changes)
+        self._report_entries(
+            changes, next_read_seconds=SETTLE_SECONDS + RESPONSE_SECONDS
+        )
+
+    def _update_entries(self, changes: Changes) -> None:
         for change in changes.changes:
             name = change.stored.name
             if change.deleted:
@@ -97,11 +107,16 @@
             self._newest_revision = max(
                 self._newest_revision, change.stored.revision
             )
+
+    def _report_entries(
+        self, changes: Changes, *, next_read_seconds: float
+    ) -> None:
         self._actor.tell(
             list_agents(
                 self._entries.values(),
                 revision=self._newest_revision,
                 as_of=changes.revision,
+                next_read_seconds=next_read_seconds,
             )
         )
 
@@ -167,17 +182,19 @@
         attempt = 0
         while True:
             try:
-                await self._write_object()
+                written = await self._write_object()
             except StoreError as error:
+                written = False
                 if attempt == 0:
                     log_event(_log, 'BBF0306', problem=error.problem)
-                await asyncio.sleep(self._backoff.delay_seconds(attempt))
-                attempt += 1
-                continue
-            log_event(_log, 'BBF0733', attempt=attempt)
-            return
+            if written:
+                log_event(_log, 'BBF0733', attempt=attempt)
+                return
+            await asyncio.sleep(self._backoff.delay_seconds(attempt))
+            attempt += 1
 
-    async def _write_object(self) -> None:
+    async def _write_object(self) -> bool:
+        """Return whether the object is in the store as it should be."""
         # The name is the address of this machine, so an existing object was
         # written by an earlier incarnation of the agent. It is replaced only if
         # it differs.
@@ -189,13 +206,18 @@
             'zone': self._entry.zone,
         }
         if await self._client.create(AGENTS_KIND, name, spec):
-            return
+            return True
         stored = await self._client.read(AGENTS_KIND, name)
-        if stored and stored.spec != spec:
-            await self._client.replace(
-                AGENTS_KIND,
-                StoredObject(name=name, revision=stored.revision, spec=spec),
-            )
+        if not stored:
+            # The deletion by the earlier incarnation took effect just now.
+            return False
+        if stored.spec == spec:
+            return True
+        replaced = await self._client.replace(
+            AGENTS_KIND,
+            StoredObject(name=name, revision=stored.revision, spec=spec),
+        )
+        return bool(replaced)
 
 
 def list_agents(
@@ -203,6 +225,7 @@
     *,
     revision: int,
     as_of: int = 0,
+    next_read_seconds: float = 0,
     peer: str = '',
 ) -> UpdateAgents:
     """Return the list of agents, one for each address, in order."""
@@ -211,6 +234,7 @@
         entries=tuple(by_address[key] for key in sorted(by_address)),
         revision=revision,
         as_of=as_of,
+        next_read_seconds=next_read_seconds,
         peer=peer,
     )
 
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -76,7 +76,7 @@
     ) -> None:
         """Reply to a balancer that asks whether the upstream holds a flow."""
         flow = self._flows.find(message.flow)
-        if flow is None:
+        if flow is None or _may_be_open_unseen(flow):
             reply = self._reply_unknown(message.flow, now)
         elif flow.accepts_acknowledgement(message.acknowledged):
             reply = FlowFound(flow=message.flow)
@@ -89,7 +89,7 @@
     ) -> None:
         """Forward a client's packet to the upstream if it holds the flow."""
         flow = self._flows.find(packet.flow)
-        if flow is None:
+        if flow is None or _may_be_open_unseen(flow):
             self._forward_unknown_flow(packet, address, now)
             return
         if not flow.accepts_acknowledgement(packet.acknowledged):
@@ -115,8 +115,11 @@
         if packet.resets and (flow is None or flow.state != OPEN):
             self._suppress_reset(packet, flow, now)
             return
-        if flow is None:
+        is_unseen = flow is not None and _may_be_open_unseen(flow)
+        if flow is None or (is_unseen and not packet.accepts):
             flow = self._learn_flow(packet, now)
+        if not packet.resets:
+            self._health.mark_served(now)
         self._track_upstream_packet(packet, flow, now)
         self._transport.send_to_client(packet)
 
@@ -180,7 +183,10 @@
         if balancer is None:
             balancer = self._find_prober(packet)
         self._probes.pop(packet.flow, None)
-        if flow is not None:
+        if flow is not None and _may_be_open_unseen(flow) and not packet.opens:
+            # A packet of an earlier flow; the opening goes on.
+            self._journal.count('returned-while-opening')
+        elif flow is not None:
             self._flows.remove(packet.flow)
             self._reporter.mark_changed()
         elif not packet.opens:
@@ -220,8 +226,11 @@
         if packet.accepts:
             flow.mark_answered(packet, now)
             return
-        if flow.state != OFFERED:
-            flow.mark_confirmed()
+        if flow.state == OFFERED:
+            # A late packet of an earlier flow from the same client port: its
+            # numbers say nothing of this flow.
+            return
+        flow.mark_confirmed()
         if packet.resets and flow.requested_at is not None:
             self._performance.record_failure(now=now)
         if flow.track_upstream_packet(packet, now):
@@ -249,7 +258,7 @@
     def _decline_rejected(
         self, packet: Packet, balancer: Address, now: float
     ) -> None:
-        self._health.mark_rejected()
+        self._health.mark_rejected(now)
         # Sent first, so that the balancer knows the state when it selects
         # another agent.
         self._reporter.report_state_change(now)
@@ -304,3 +313,11 @@
             status=status,
             milliseconds=round(seconds * MS_PER_SECOND),
         )
+
+
+def _may_be_open_unseen(flow: UpstreamFlow) -> bool:
+    """Tell whether the upstream may have opened a flow that it hasn't answered.
+
+    The opening packet may be a late copy, which the upstream may ignore.
+    """
+    return flow.state == OFFERED and flow.may_be_older
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -28,6 +28,7 @@
         '_order',
         '_refused',
         '_rejects_flows',
+        '_served_at',
         '_service',
         '_suspected',
         '_timeout_seconds',
@@ -46,6 +47,7 @@
         self._order = StartOrder(interval_seconds=announcement_seconds)
         self._last_seen_at = now
         self._is_heard = False
+        self._served_at: float | None = None
         self._refused = False
         self._rejects_flows = False
         self._suspected = False
@@ -60,6 +62,11 @@
         """Tell whether this agent has heard its upstream at all."""
         return self._is_heard
 
+    @property
+    def has_served(self) -> bool:
+        """Tell whether the upstream has sent a packet of a flow it holds."""
+        return self._served_at is not None
+
     @property
     def is_announced(self) -> bool:
         """Tell whether the upstream has announced itself to this agent."""
@@ -147,20 +154,33 @@
         self._refused = False
         self._suspected = False
 
+    def mark_served(self, now: float) -> None:
+        """Record that the upstream has sent a packet of a flow it holds.
+
+        Unlike one that it returns or resets, it shows that the upstream runs.
+        """
+        self._served_at = now
+        self._rejects_flows = False
+
     def mark_refused(self) -> None:
         """Record that the upstream's port is closed."""
         self._refused = True
         self._order.mark_port_closed()
 
-    def mark_rejected(self) -> None:
+    def mark_rejected(self, now: float) -> None:
         """Record that the upstream has rejected a new flow.
 
         One that hasn't announced itself to this agent may have left before the
         agent started. It then rejects each flow, so it is offered none until
-        its announcement.
+        its announcement. One that serves other flows is full.
         """
-        self._rejects_flows = not self.is_announced
+        self._rejects_flows = not (self.is_announced or self._is_serving(now))
 
     def mark_suspected(self) -> None:
         """Record that the upstream left an opening packet unanswered."""
         self._suspected = True
+
+    def _is_serving(self, now: float) -> bool:
+        if self._served_at is None:
+            return False
+        return now - self._served_at <= self._timeout_seconds
