Pass copies of accepted opening packets on during a drain

An agent whose upstream had begun to drain declined a copy of an opening packet that it had accepted before. The balancer took the flow for one that hasn't run: it offered it to another agent, or reset it when there was none in time, although the upstream had opened it and its answer was on the way to the client.

The copy now passes to the upstream, as it does during an evacuation. A packet with another sequence number from the same port is a new flow and is declined. test_copy_of_an_opening_packet_is_declined_during_a_drain asserted the fault; in its place one test asserts that the copy passes and is not declined, and another that a new flow of a reused port is declined. The first failed before, for the drain of the upstream and for the stop of the agent. The tests of relay/upstreams pass.

--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -8,6 +8,7 @@
 from bluebellfold.core import format_flow
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
+    DECLINED_DRAINING,
     DECLINED_EVACUATED,
     DECLINED_FULL,
     DECLINED_OTHER_SERVICE,
@@ -142,8 +143,12 @@
         if message.service != self._health.service:
             return DECLINED_OTHER_SERVICE
         reason = STATE_DECLINES.get(self._reporter.state(now), 0)
-        if reason or flow is not None:
-            # A copy of the opening packet adds no load.
+        if flow is not None:
+            # A copy of the opening packet adds no load. Declining it would tell
+            # the balancer that the flow hasn't run, but the upstream may have
+            # opened it.
+            return 0 if reason == DECLINED_DRAINING else reason
+        if reason:
             return reason
         if self._reporter.evacuation.evacuated:
             return DECLINED_EVACUATED
--- a/bluebellfold/relay/upstreams/tests/test_admission.py
+++ b/bluebellfold/relay/upstreams/tests/test_admission.py
@@ -1,5 +1,7 @@
 """Test which new flows an agent admits to its upstream."""
 
+import pytest
+
 from bluebellfold.relay.agents import (
     DECLINED_DOWN,
     DECLINED_DRAINING,
@@ -31,11 +33,18 @@
     ACKNOWLEDGE,
     OPEN,
     RESET,
+    client_packet,
     opening_packet,
     returned_packet,
     upstream_packet,
 )
 
+# The upstream is to leave, or its agent.
+DRAINS = {
+    'upstream': lambda agent: agent.announce(sequence=2, draining=True),
+    'agent': lambda agent: agent.relay.stop(agent.now),
+}
+
 
 def test_offered_flow_is_forwarded_and_its_answer_sent_to_the_client():
     agent = agent_with_balancer()
@@ -56,11 +65,29 @@
     assert not agent.transport.delivered
 
 
-def test_copy_of_an_opening_packet_is_declined_during_a_drain():
+# Guards against an untrue reset: the balancer took the declined copy for a flow
+# that hasn't run, although the upstream had opened it and its answer was on the
+# way.
+@pytest.mark.parametrize('drain', DRAINS.values(), ids=DRAINS.keys())
+def test_copy_of_an_accepted_opening_packet_passes_during_a_drain(drain):
     agent = agent_with_balancer()
     offer(agent)
-    agent.announce(sequence=2, draining=True)
-    offer(agent, opening_packet(attempt=1))
+    agent.receive_upstream_packet(ANSWER)
+    drain(agent)
+    copy = opening_packet(attempt=1)
+    offer(agent, copy)
+    assert not agent.transport.pop_messages(Declined)
+    assert agent.transport.delivered[1:] == [copy]
+
+
+@pytest.mark.parametrize('drain', DRAINS.values(), ids=DRAINS.keys())
+def test_new_flow_of_a_reused_port_is_declined_during_a_drain(drain):
+    agent = agent_with_balancer()
+    offer(agent)
+    drain(agent)
+    offer(agent, client_packet(flags=OPEN, sequence=77_000))
+    declined = single(agent.transport.pop_messages(Declined))
+    assert declined.reason == DECLINED_DRAINING
     assert len(agent.transport.delivered) == 1
 
 
