Decline copies of accepted opening packets truthfully while down

An upstream that had opened a flow and then left the opening packet of another one unanswered counts as down. Its agent declined a copy of the first flow's opening packet as down, which tells the balancer that the flow hasn't run, and the balancer could reset it although the client's request was on its way.

The copy is now declined as unanswered: the balancer offers the flow to another agent, but doesn't reset it before the client's next opening packet. The new test failed before. The tests of relay/upstreams pass.

--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -8,7 +8,7 @@
 from bluebellfold.core import format_flow
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
-    DECLINED_DRAINING,
+    DECLINED_DOWN,
     DECLINED_EVACUATED,
     DECLINED_FULL,
     DECLINED_OTHER_SERVICE,
@@ -144,10 +144,9 @@
             return DECLINED_OTHER_SERVICE
         reason = STATE_DECLINES.get(self._reporter.state(now), 0)
         if flow is not None:
-            # A copy of the opening packet adds no load. Declining it would tell
-            # the balancer that the flow hasn't run, but the upstream may have
-            # opened it.
-            return 0 if reason == DECLINED_DRAINING else reason
+            # A copy of the opening packet adds no load. The upstream may have
+            # opened the flow, so that no reason may say that it hasn't run.
+            return DECLINED_UNANSWERED if reason == DECLINED_DOWN else 0
         if reason:
             return reason
         if self._reporter.evacuation.evacuated:
--- a/bluebellfold/relay/upstreams/tests/test_admission.py
+++ b/bluebellfold/relay/upstreams/tests/test_admission.py
@@ -80,6 +80,23 @@
     assert agent.transport.delivered[1:] == [copy]
 
 
+# Guards against an untrue reset: the upstream has opened the flow, and later
+# leaves the opening packet of another one unanswered.
+def test_copy_of_an_accepted_opening_packet_may_have_run_while_down():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.receive_upstream_packet(ANSWER)
+    offer(agent, opening_packet(client=('100.64.0.8', 9)))
+    agent.advance(0.11)
+    assert agent.relay.state(agent.now) == DOWN
+    agent.transport.sent.clear()
+    offer(agent, opening_packet(attempt=1))
+    declined = single(agent.transport.pop_messages(Declined))
+    assert declined.reason == DECLINED_UNANSWERED
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    assert agent.transport.delivered[-1] == DATA, 'the flow is kept'
+
+
 @pytest.mark.parametrize('drain', DRAINS.values(), ids=DRAINS.keys())
 def test_new_flow_of_a_reused_port_is_declined_during_a_drain(drain):
     agent = agent_with_balancer()
