Ignore declines of opening packets that are no longer in the flow cache

A decline that arrives after its flow was refused, dropped or evicted made the balancer cache the flow anew and offer the old opening packet to another agent, although its client had been told that the flow hasn't run, or had left. The same happened to the decline of an earlier flow from a client port that was reused: the new flow lost its agent and its opening packet. A flow that a lookup had found after a restart of the balancer was offered to another agent in spite of being open.

Such a decline is now counted (declines_outdated_total) and changes nothing. A client that still wants its flow repeats the opening packet.

--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -163,7 +163,12 @@
     ) -> None:
         """Reassign a flow that an agent has declined."""
         packet = message.packet
-        assignment = self._flows.find_or_add(packet.flow, now)
+        assignment = self._flows.find(packet.flow)
+        if assignment is None or not assignment.is_opened_by(packet):
+            # The flow was refused or dropped, or isn't this one any longer. If
+            # its client still wants it, the opening packet is repeated.
+            self._journal.count('declines-outdated')
+            return
         # Late: another agent has been offered the flow since, and may hold it.
         is_late = assignment.agent not in {None, address}
         if not is_late:
--- a/bluebellfold/relay/callers/flow_cache.py
+++ b/bluebellfold/relay/callers/flow_cache.py
@@ -1,5 +1,6 @@
 """Cache which agent holds each flow that passes a balancer."""
 
+from bluebellfold.core import Packet
 from bluebellfold.relay.agents import Address
 
 # Limits memory to about 60 MB: a flow takes about 300 bytes.
@@ -128,6 +129,13 @@
             self._registered_at = None
             self._excluded_agents.clear()
 
+    def is_opened_by(self, packet: Packet) -> bool:
+        """Tell whether a packet is the last opening packet or a copy of it.
+
+        The opening packet of a flow that a lookup found isn't known.
+        """
+        return self._opening_sequence == packet.sequence
+
     def mark_established(self, sequence: int) -> bool:
         """Record a later packet, and return whether the flow is established.
 
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -11,6 +11,7 @@
     DRAINING,
     NO_FLOW_LIMIT,
     Declined,
+    FlowFound,
     ForwardedPacket,
     Offer,
     Warmup,
@@ -390,6 +391,52 @@
     assert address == SECOND
 
 
+def offers_after_late_decline(balancer):
+    """Return the offers after an agent declines the first opening packet."""
+    balancer.list_agents((FIRST, SECOND))
+    balancer.receive_message(SECOND, report_of(sequence=9))
+    balancer.transport.sent.clear()
+    balancer.receive_message(
+        FIRST, Declined(packet=opening_packet(), reason=DECLINED_FULL)
+    )
+    balancer.advance(0.05)
+    return balancer.transport.pop_messages(Offer)
+
+
+# Guards against an opening packet that is offered again although its client has
+# been told that the flow hasn't run, or has left.
+def test_late_decline_of_a_flow_that_was_dropped_is_ignored():
+    balancer = balancer_with(report_of())
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.5)
+    assert not balancer.relay.cached_flows
+    assert not offers_after_late_decline(balancer)
+    assert not balancer.relay.queued_flows
+
+
+# Guards against a flow that loses its agent to an earlier one of the same port.
+def test_late_decline_of_an_earlier_flow_leaves_the_new_one_at_its_agent():
+    balancer = balancer_with(report_of())
+    balancer.receive_packet(opening_packet())
+    balancer.receive_packet(client_packet(flags=OPEN, sequence=77_000))
+    assert not offers_after_late_decline(balancer)
+    balancer.receive_packet(client_packet(flags=ACKNOWLEDGE, sequence=77_001))
+    address, _ = single(balancer.transport.pop_messages(ForwardedPacket))
+    assert address == FIRST
+
+
+# Guards against an open flow that is offered to another agent: the balancer has
+# restarted, and the agent answers an offer from before.
+def test_late_decline_of_a_flow_found_by_a_lookup_is_ignored():
+    balancer = balancer_with(report_of())
+    balancer.receive_packet(FIRST_DATA)
+    balancer.receive_message(FIRST, FlowFound(flow=FIRST_DATA.flow))
+    assert not offers_after_late_decline(balancer)
+    balancer.receive_packet(FIRST_DATA)
+    address, _ = single(balancer.transport.pop_messages(ForwardedPacket))
+    assert address == FIRST
+
+
 def test_late_decline_keeps_the_offer_since_under_watch():
     # The offer counted as answered by the decline of another agent, so that a
     # killed second agent kept the flow until its client retransmitted.
@@ -497,6 +544,9 @@
     balancer.receive_message(SECOND, report_of(in_flight=5, sequence=4))
     balancer.relay._agent_table.find(SECOND).back_off_until(balancer.now)
     declined = client_packet(destination=low, flags=OPEN)
+    assignment = balancer.relay._flows.find_or_add(declined.flow, balancer.now)
+    assignment.record_opening(declined.sequence, balancer.now)
+    assignment.assign(FIRST)
     balancer.receive_message(
         FIRST, Declined(packet=declined, reason=DECLINED_FULL)
     )
