Scan the agents about once for all denials of a lookup

A lookup now remembers one agent that is alive and has not answered, and scans the list only once this one has answered or counts as dead. What leads to a reset is unchanged.

--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -1,6 +1,6 @@
 """Track the load and reachability of each agent at a balancer."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, ValuesView
 from itertools import islice
 
 from bluebellfold.core import Record, read_only
@@ -291,8 +291,8 @@
         return len(self._views)
 
     @property
-    def views(self) -> Iterable[AgentView]:
-        """Return the views of all agents."""
+    def views(self) -> ValuesView[AgentView]:
+        """Return the views of all agents, in a fixed order."""
         return self._views.values()
 
     @property
--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -11,6 +11,7 @@
 from bluebellfold.relay.agents import (
     Address,
     AgentTable,
+    AgentView,
     FlowFound,
     FlowLookup,
     FlowNotFound,
@@ -329,6 +330,8 @@
     def _reset_if_not_found(
         self, flow: bytes, lookup: PendingLookup, now: float
     ) -> None:
+        if self._awaits_answer(lookup, now):
+            return
         candidates = [
             view.address
             for view in self._agent_table.views
@@ -349,3 +352,25 @@
         self._journal.log(
             'BBF0706', flow=format_flow(flow), denied=len(candidates)
         )
+
+    def _awaits_answer(self, lookup: PendingLookup, now: float) -> bool:
+        """Return whether an agent that is alive has not answered yet.
+
+        The agent found is the first to be checked the next time. Agents answer
+        about in the order of the list, so that the last one is found first.
+        """
+        view = self._agent_table.find(lookup.awaited_agent)
+        if view is not None and self._is_awaited(view, lookup, now):
+            return True
+        for candidate in reversed(self._agent_table.views):
+            if self._is_awaited(candidate, lookup, now):
+                lookup.await_agent(candidate.address)
+                return True
+        return False
+
+    def _is_awaited(
+        self, view: AgentView, lookup: PendingLookup, now: float
+    ) -> bool:
+        return lookup.needs_query(view.address) and not view.is_presumed_dead(
+            now
+        )
--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -45,6 +45,7 @@
     """Hold the agents' answers about one flow, and its queued packets."""
 
     __slots__ = (
+        '_awaited_agent',
         '_homes',
         '_not_found',
         '_presumed_absent',
@@ -69,6 +70,12 @@
         self._queued_packets: list[Packet] = []
         # In reverse order, so that the next one is taken from the end.
         self._unqueried: list[Address] = []
+        self._awaited_agent: Address | None = None
+
+    @property
+    def awaited_agent(self) -> Address | None:
+        """Return an agent that had not answered, None if none is known."""
+        return self._awaited_agent
 
     @property
     def queued_packets(self) -> list[Packet]:
@@ -115,6 +122,10 @@
                 popped.append(agent)
         return popped
 
+    def await_agent(self, agent: Address) -> None:
+        """Record an agent that has not answered."""
+        self._awaited_agent = agent
+
     def homes_failed(self, now: float) -> bool:
         """Return whether the home agents don't know the owner, or are late."""
         if not self._homes:
--- a/bluebellfold/relay/callers/tests/test_design_size.py
+++ b/bluebellfold/relay/callers/tests/test_design_size.py
@@ -1,11 +1,15 @@
 """Test that lookups before thousands of agents take little time in a turn.
 
-At the design size of 28,000 agents one turn queried all of them.
+At the design size of 28,000 agents one turn queried all of them, and each
+denial scanned the whole list.
 """
 
+import pytest
+
 from bluebellfold.relay.agents import (
     SUBSET_SIZE,
     AgentEntry,
+    AgentView,
     FlowLookup,
     FlowNotFound,
     Subscribe,
@@ -53,6 +57,10 @@
     return turns
 
 
+def query_all(balancer):
+    balancer.advance(TICK_SECONDS * (AGENTS / QUERIES + 1))
+
+
 # Guards against an event loop that stands still for as long as a balancer takes
 # to send a datagram to each agent of a large fleet.
 def test_queries_of_a_turn_are_bounded():
@@ -85,6 +93,29 @@
     assert len(probed) == AGENTS
 
 
+# Guards against a cost of a lookup that grows with the square of the fleet.
+@pytest.mark.parametrize('step', [1, -1, 7], ids=['order', 'reverse', 'mixed'])
+def test_denials_of_all_agents_cost_one_scan_in_all(step, monkeypatch):
+    balancer = looking_up()
+    query_all(balancer)
+    checks = []
+    is_presumed_dead = AgentView.is_presumed_dead
+
+    def count_check(view, now):
+        checks.append(view)
+        return is_presumed_dead(view, now)
+
+    monkeypatch.setattr(AgentView, 'is_presumed_dead', count_check)
+    order = [FLEET[index * step % AGENTS].address for index in range(AGENTS)]
+    assert len(set(order)) == AGENTS
+    for address in order[:-1]:
+        balancer.receive_message(address, FlowNotFound(flow=DATA.flow))
+    assert not balancer.transport.resets
+    balancer.receive_message(order[-1], FlowNotFound(flow=DATA.flow))
+    assert len(balancer.transport.resets) == 1
+    assert len(checks) < 10 * AGENTS
+
+
 # Guards against the reset of an open flow whose agent hasn't been queried yet.
 def test_flow_is_not_reset_before_all_agents_are_queried(monkeypatch):
     monkeypatch.setattr(forwarding, 'MAX_QUERIES_PER_TICK', 2)
