Follow agents outside of evacuated zones in each home region

While a zone is evacuated, a balancer follows a second subset of the service's agents elsewhere, but the subset of a home region was still selected among all zones of the region. With 8 of 9 zones of a region evacuated, 7 of 8 balancers followed one agent that takes flows of a route with this home region, and one balancer none; the others were found only by samples.

The second subset is now selected for each set of home regions too, while a zone of it is evacuated. The new test failed before for each of the 8 balancers. The tests of relay/callers pass.

--- a/bluebellfold/relay/callers/agent_follower.py
+++ b/bluebellfold/relay/callers/agent_follower.py
@@ -186,18 +186,27 @@
                 # Only its reports tell which service such an agent is of.
                 followed.extend(view.address for view in listed)
                 continue
-            followed.extend(self._select_subset(listed, now))
-            usable = self._evacuations.filter_usable(listed)
-            if 0 < len(usable) < len(listed):
-                # The agents of evacuated zones are followed on, so that they
-                # learn the state, but take no flows.
-                followed.extend(self._select_subset(usable, now))
+            followed.extend(self._select_subsets_of(listed, now))
             # The subset of the whole service may have no agent in a region.
             for allowed in self._routes.table.list_home_regions(service):
                 at_home = self._home_regions.select(listed, allowed)
-                followed.extend(self._select_subset(at_home, now))
+                followed.extend(self._select_subsets_of(at_home, now))
         self._agent_table.follow(dict.fromkeys(followed), now)
 
+    def _select_subsets_of(
+        self, listed: list[AgentView], now: float
+    ) -> list[Address]:
+        """Return a subset of the agents, and one outside of evacuated zones.
+
+        The agents of evacuated zones are followed on, so that they learn the
+        state, but take no flows.
+        """
+        selected = self._select_subset(listed, now)
+        usable = self._evacuations.filter_usable(listed)
+        if 0 < len(usable) < len(listed):
+            selected.extend(self._select_subset(usable, now))
+        return selected
+
     def _select_subset(
         self, listed: list[AgentView], now: float
     ) -> list[Address]:
--- a/bluebellfold/relay/callers/tests/test_home_regions.py
+++ b/bluebellfold/relay/callers/tests/test_home_regions.py
@@ -1,5 +1,7 @@
 """Test which agents a route with home regions uses."""
 
+import pytest
+
 from bluebellfold.relay.agents import (
     DECLINED_FULL,
     SUBSET_SIZE,
@@ -12,6 +14,7 @@
 from bluebellfold.relay.tests.harness import (
     COUNTER,
     Balancer,
+    fleet_of,
     report_of,
     route_to,
     single,
@@ -216,3 +219,30 @@
     }
     assert sampled
     assert sampled <= {entry.address for entry in at_home}
+
+
+# Guards against a balancer that follows no agent to which it may send flows of
+# a route: its subset of the home region was selected among all zones there, and
+# those of the subset were evacuated.
+@pytest.mark.parametrize('number', range(8))
+def test_subset_of_a_region_has_agents_outside_of_evacuated_zones(number):
+    north = [f'n{index}' for index in range(9)]
+    south = [f's{index}' for index in range(9)]
+    regions = dict.fromkeys(north, 'north') | dict.fromkeys(south, 'south')
+    fleet = fleet_of(198, zones=(*north, *south))
+    balancer = Balancer(
+        agents=fleet,
+        routes=HOME_ROUTES,
+        regions=regions,
+        identity=f'10.1.0.{number}:7720',
+        zone='n0',
+    )
+    balancer.relay.update_evacuations(
+        frozenset(south[1:]), balancer.now, revision=5
+    )
+    balancer.transport.sent.clear()
+    balancer.advance(0.05)
+    usable = {entry.address for entry in fleet if entry.zone == south[0]}
+    asked = balancer.transport.pop_messages(Subscribe)
+    followed = {address for address, message in asked if not message.once}
+    assert len(followed & usable) >= SUBSET_SIZE
