Drop clients without queued flows from those that are out of turns

Under contention a client that has used its turns is noted until the next round.

The note now goes with the client's last flow. The test of it failed before. That routes are added, removed and change their priority meanwhile harms nothing: a property test serves every flow after any such steps. The queue of a removed route is kept, empty, until the service has drained, as its share is counted in it. The tests of the queues pass.

--- a/bluebellfold/relay/callers/route_queue.py
+++ b/bluebellfold/relay/callers/route_queue.py
@@ -156,7 +156,8 @@
         self._flows: NewestFirst[QueuedFlow] = NewestFirst()
         self._clients: dict[str, ClientQueue] = {}
         self._clients_in_turn: NewestFirst[ClientQueue] = NewestFirst()
-        self._out_of_turns: list[ClientQueue] = []
+        # By client, and only those that have queued flows.
+        self._out_of_turns: dict[str, ClientQueue] = {}
         self._last_number = 0
         self._start_tag = float(0)
 
@@ -200,6 +201,7 @@
         self._reorder(client)
         if not client:
             self._clients.pop(queued.client)
+            self._out_of_turns.pop(queued.client, None)
 
     def charge(self, queued: QueuedFlow, cost: float) -> None:
         """Count the assignment of a flow that has been removed."""
@@ -210,7 +212,7 @@
         client.use_turn()
         self._reorder(client)
         if not client.turns_left:
-            self._out_of_turns.append(client)
+            self._out_of_turns[queued.client] = client
 
     def newest(self) -> QueuedFlow:
         """Return the newest flow; raise IndexError if there is none."""
@@ -248,7 +250,7 @@
             self._clients_in_turn.add(client)
 
     def _start_round(self) -> None:
-        for client in self._out_of_turns:
+        for client in self._out_of_turns.values():
             client.start_round()
             self._reorder(client)
         self._out_of_turns.clear()
--- a/bluebellfold/relay/callers/tests/test_fair_queue.py
+++ b/bluebellfold/relay/callers/tests/test_fair_queue.py
@@ -1,6 +1,8 @@
 """Test the order of the queued flows of one service."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bluebellfold.relay.callers.fair_queue import (
     MAX_PRIORITY_STEPS,
@@ -149,3 +151,65 @@
     flows = filler.queue.routes[0]._flows
     assert len(flows) == 1
     assert len(flows._entries) < 50
+
+
+# Guards against memory that grows for as long as the service is contended: a
+# round doesn't end while clients come that have turns left.
+def test_client_without_flows_leaves_no_entry_among_those_out_of_turns():
+    filler = Filler()
+    for number in range(50):
+        left = filler.add(NORMAL, times=5, host=f'100.64.0.{number}')
+        filler.add(NORMAL, host=f'100.65.0.{number}', waited=0.05)
+        filler.serve(TURNS_PER_ROUND)
+        filler.queue.remove(left)
+    route_queue = filler.queue.routes[0]
+    assert len(route_queue) == 50
+    assert not route_queue._out_of_turns
+
+
+class RouteChanger(Filler):
+    """Add, serve and remove flows while two routes change."""
+
+    def __init__(self):
+        super().__init__()
+        self.routes = [URGENT, NORMAL]
+
+    def add_flow(self, number):
+        host = f'100.64.0.{number // 4}'
+        self.add(self.routes[number % 2], host=host, waited=number / 40)
+
+    def change_priority(self, number):
+        port = 80 + number % 2
+        self.routes[number % 2] = route_of(port, priority=number)
+
+    def serve_flow(self, _):
+        self.serve(min(1, len(self.queue)))
+
+    def remove_route(self, number):
+        address = self.routes[number % 2].address
+        for route_queue in self.queue.routes:
+            if route_queue.route.address == address:
+                for queued in route_queue.list_in_turn(NOW):
+                    self.queue.remove(queued)
+
+
+STEPS = (
+    RouteChanger.add_flow,
+    RouteChanger.change_priority,
+    RouteChanger.serve_flow,
+    RouteChanger.remove_route,
+)
+
+
+# Guards against flows that are never next after their route was removed and
+# added again with another priority, or after their client was out of turns.
+@given(st.lists(st.tuples(st.sampled_from(STEPS), st.integers(0, 11))))
+def test_every_flow_is_served_whatever_happens_to_routes(steps):
+    changer = RouteChanger()
+    for step, number in steps:
+        step(changer, number)
+    changer.serve(len(changer.queue))
+    for route_queue in changer.queue._routes.values():
+        assert not len(route_queue)
+        assert not route_queue._clients
+        assert not route_queue._out_of_turns
