--- a/bluebellfold/relay/callers/agent_follower.py
+++ b/bluebellfold/relay/callers/agent_follower.py
@@ -35,6 +35,9 @@
 # all lost, even on a link that loses a third of its packets.
 PROBE_INTERVAL_SECONDS = 0.3
 DEAD_PROBE_INTERVAL_SECONDS = 1.0
+# Agents that are checked for probes in a tick, in turn. If none of 28,000
+# answers a lookup, each is still probed four times before it counts as dead.
+MAX_AWAITED_PER_TICK = 2_000
 # The agent is not probed after this time, until it is asked again.
 MAX_SILENCE_SECONDS = 60.0
 # How often the owner of a flow in use proves that it is alive.
@@ -128,7 +131,7 @@
     def tick(self, now: float) -> None:
         """Renew subscriptions, and probe silent agents."""
         self._renew(now)
-        for view in self._agent_table.awaited:
+        for view in self._agent_table.next_awaited(MAX_AWAITED_PER_TICK):
             self._probe_awaited(view, now)
 
     def sample(
@@ -183,18 +186,27 @@
                 # Only its reports tell which service such an agent is of.
                 followed.extend(view.address for view in listed)
                 continue
-            followed.extend(self._select_subset(listed, now))
-            usable = self._evacuations.filter_usable(listed)
-            if 0 < len(usable) < len(listed):
-                # The agents of evacuated zones are followed on, so that they
-                # learn the state, but take no flows.
-                followed.extend(self._select_subset(usable, now))
+            followed.extend(self._select_subsets_of(listed, now))
             # The subset of the whole service may have no agent in a region.
             for allowed in self._routes.table.list_home_regions(service):
                 at_home = self._home_regions.select(listed, allowed)
-                followed.extend(self._select_subset(at_home, now))
+                followed.extend(self._select_subsets_of(at_home, now))
         self._agent_table.follow(dict.fromkeys(followed), now)
 
+    def _select_subsets_of(
+        self, listed: list[AgentView], now: float
+    ) -> list[Address]:
+        """Return a subset of the agents, and one outside of evacuated zones.
+
+        The agents of evacuated zones are followed on, so that they learn the
+        state, but take no flows.
+        """
+        selected = self._select_subset(listed, now)
+        usable = self._evacuations.filter_usable(listed)
+        if 0 < len(usable) < len(listed):
+            selected.extend(self._select_subset(usable, now))
+        return selected
+
     def _select_subset(
         self, listed: list[AgentView], now: float
     ) -> list[Address]:
--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -11,6 +11,7 @@
 from bluebellfold.relay.agents import (
     Address,
     AgentTable,
+    AgentView,
     FlowFound,
     FlowLookup,
     FlowNotFound,
@@ -32,6 +33,10 @@
 # Up to this number of agents, all are asked at once: it costs no more than the
 # home agents do.
 MAX_DIRECT_QUERIES = 4
+# A larger fleet is queried in several ticks, the oldest lookup first: one
+# datagram takes 3 to 16 us, and a turn of the event loop must not delay new
+# flows. All of 28,000 agents are queried within 0.75 s.
+MAX_QUERIES_PER_TICK = 2_000
 
 
 class FlowForwarder:
@@ -200,11 +205,13 @@
 
     def tick(self, now: float, *, agents_complete_at: float) -> None:
         """Query agents after the homes, again and by a packet, where due."""
+        left = MAX_QUERIES_PER_TICK
         for flow, lookup in self._lookups.list_pending():
             if lookup.homes_failed(now):
                 self._query_all_agents(flow, lookup, now)
             if lookup.asks_homes:
                 continue
+            left -= self._continue_queries(flow, lookup, now, limit=left)
             if lookup.detect_retry_due(now):
                 self._journal.count('lookups-repeated')
                 self._send_queries(flow, lookup, now)
@@ -301,11 +308,24 @@
     def _send_queries(
         self, flow: bytes, lookup: PendingLookup, now: float
     ) -> None:
+        lookup.begin_queries(view.address for view in self._agent_table.views)
+        if len(self._agent_table) <= MAX_QUERIES_PER_TICK:
+            self._continue_queries(
+                flow, lookup, now, limit=MAX_QUERIES_PER_TICK
+            )
+
+    def _continue_queries(
+        self, flow: bytes, lookup: PendingLookup, now: float, *, limit: int
+    ) -> int:
+        """Query the next agents, and return how many."""
+        addresses = lookup.pop_unqueried(limit, now)
         query = FlowLookup(flow=flow, acknowledged=lookup.acknowledged)
-        for view in self._agent_table.views:
-            if lookup.needs_query(view.address):
+        for address in addresses:
+            view = self._agent_table.find(address)
+            if view is not None:
                 self._agent_table.expect_message(view, now)
-                self._transport.send_to_agent(view.address, query)
+                self._transport.send_to_agent(address, query)
+        return len(addresses)
 
     def _conclude(
         self,
@@ -324,6 +344,8 @@
     def _reset_if_not_found(
         self, flow: bytes, lookup: PendingLookup, now: float
     ) -> None:
+        if self._awaits_answer(lookup, now):
+            return
         candidates = [
             view.address
             for view in self._agent_table.views
@@ -344,3 +366,25 @@
         self._journal.log(
             'BBF0706', flow=format_flow(flow), denied=len(candidates)
         )
+
+    def _awaits_answer(self, lookup: PendingLookup, now: float) -> bool:
+        """Return whether an agent that is alive has not answered yet.
+
+        The agent found is the first to be checked the next time. Agents answer
+        about in the order of the list, so that the last one is found first.
+        """
+        view = self._agent_table.find(lookup.awaited_agent)
+        if view is not None and self._is_awaited(view, lookup, now):
+            return True
+        for candidate in reversed(self._agent_table.views):
+            if self._is_awaited(candidate, lookup, now):
+                lookup.await_agent(candidate.address)
+                return True
+        return False
+
+    def _is_awaited(
+        self, view: AgentView, lookup: PendingLookup, now: float
+    ) -> bool:
+        return lookup.needs_query(view.address) and not view.is_presumed_dead(
+            now
+        )
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -8,6 +8,7 @@
 from bluebellfold.core import format_flow
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
+    DECLINED_DOWN,
     DECLINED_EVACUATED,
     DECLINED_FULL,
     DECLINED_OTHER_SERVICE,
@@ -151,8 +152,11 @@
         if message.service != self._health.service:
             return DECLINED_OTHER_SERVICE
         reason = STATE_DECLINES.get(self._reporter.state(now), 0)
-        if reason or flow is not None:
-            # A copy of the opening packet adds no load.
+        if flow is not None:
+            # A copy of the opening packet adds no load. The upstream may have
+            # opened the flow, so that no reason may say that it hasn't run.
+            return DECLINED_UNANSWERED if reason == DECLINED_DOWN else 0
+        if reason:
             return reason
         if self._reporter.evacuation.evacuated:
             return DECLINED_EVACUATED
