--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 # Property tests of everything that reads what others write.
 FUZZED = bluebellfold/platform bluebellfold/relay/agents bluebellfold/store
 
-.PHONY: environment demo test fuzz soak benchmark generate capacity
+.PHONY: environment demo test fuzz soak benchmark generate capacity regression
 
 environment: $(STAMP)
 
@@ -43,6 +43,10 @@
 capacity: environment
 	.venv/bin/python -m benchmarks.capacity
 
+# Figures of the journal by deployment and commit; DEPLOYMENT=NAME shows one.
+regression: environment
+	.venv/bin/python -m scripts.regression --deployment='$(DEPLOYMENT)'
+
 # The generated code is committed: a build needs no generator.
 generate: environment
 	PATH=.venv/bin:$$PATH .venv/bin/python -m grpc_tools.protoc --proto_path=. \
--- /dev/null
+++ b/scripts/regression/__init__.py
@@ -0,0 +1,1 @@
+"""Compare the figures of the journal by deployment and commit."""
--- /dev/null
+++ b/scripts/regression/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the comparison of the figures of the journal."""
