Explain a request from the logs of hundreds of processes

It now takes files and folders, reads them in blocks, and decodes only lines that contain the plain part of the id; for a request it searches a second time for its flows, which is all that balancers write.

A terminal shows a progress bar on standard error. A file that cannot be read is an error with a remedy instead of a traceback.

--- a/bluebellfold/operators/arguments.py
+++ b/bluebellfold/operators/arguments.py
@@ -30,11 +30,13 @@
     raise FireError(f'{text!r} is not a duration; give seconds, such as 30')
 
 
+# Without names it holds for all arguments, also of a variable number.
+text_arguments = SetParseFn(str)
 path_arguments = SetParseFn(
-    str, 'base', 'site', 'process', 'path', 'settings', 'log', 'against'
+    str, 'base', 'site', 'process', 'path', 'settings', 'against'
 )
 name_arguments = SetParseFn(
-    str, 'name', 'operation', 'role', 'wanted', 'store', 'regions'
+    str, 'name', 'operation', 'role', 'store', 'regions'
 )
 version_argument = SetParseFn(parse_version, 'version')
 deadline_argument = SetParseFn(parse_seconds, 'deadline', 'drain_seconds')
--- a/bluebellfold/operators/command.py
+++ b/bluebellfold/operators/command.py
@@ -13,6 +13,7 @@
     deadline_argument,
     name_arguments,
     path_arguments,
+    text_arguments,
     version_argument,
 )
 from bluebellfold.operators.check_commands import CheckOptions
@@ -31,8 +32,9 @@
 )
 from bluebellfold.operators.key_rotation import new_keys, rotate_keys
 from bluebellfold.operators.process_commands import drain_process, show_status
+from bluebellfold.operators.progress import ProgressBar
 from bluebellfold.operators.starting import run_role
-from bluebellfold.relay.operators import explain_file
+from bluebellfold.relay.operators.explain_logs import explain_logs
 
 PROGRAM = 'bluebellfold'
 RELAY_ROLES = ('agent', 'balancer')
@@ -183,16 +185,16 @@
         """
         return Invocation(partial(run_role, 'agent', base, site, process))
 
-    @path_arguments
-    @name_arguments
-    def explain(self, wanted: str, log: str) -> Invocation:
-        """Show the outcome of a request or a flow, and its cause, from a log.
+    @text_arguments
+    def explain(self, wanted: str, log: str, *logs: str) -> Invocation:
+        """Show the outcome of a request or a flow, and its cause, from logs.
 
         Args:
             wanted: Id of a request, or id of a flow as in the log.
-            log: Path of a file with the log lines of all processes.
+            log: Path of a file with log lines, or of a folder of such files.
+            logs: More paths of files or folders.
         """
-        return Invocation(partial(_explain, wanted, log))
+        return Invocation(partial(_explain, wanted, (log, *logs)))
 
     @path_arguments
     @name_arguments
@@ -312,8 +314,8 @@
     return SUCCEEDED
 
 
-def _explain(wanted: str, path: str) -> int:
-    explanation = explain_file(wanted, path)
+def _explain(wanted: str, paths: tuple[str, ...]) -> int:
+    explanation = explain_logs(wanted, paths, progress=ProgressBar())
     for step in explanation.steps:
         write_output(step)
     write_output(f'cause: {explanation.cause}')
--- a/bluebellfold/operators/tests/test_command.py
+++ b/bluebellfold/operators/tests/test_command.py
@@ -236,6 +236,23 @@
     assert 'the new keys are in use' in capsys.readouterr().out
 
 
+def test_explain_reads_several_logs(tmp_path, capsys):
+    paths = []
+    for event in ('BBF0723', 'BBF0725'):
+        line = {'event': event, 'flow': '1>2', 'request': '17', 'time': event}
+        (tmp_path / event).write_text(json.dumps(line))
+        paths.append(str(tmp_path / event))
+    # An id of digits stays a text.
+    assert run_command(['explain', '17', *paths]) == 0
+    shown = capsys.readouterr()
+    assert shown.out.splitlines()[-1].startswith('cause: reset')
+    assert len(shown.out.splitlines()) == 3
+    assert not shown.err
+    assert run_command(['explain', '18', str(tmp_path)]) == 1
+    assert run_command(['explain', '17', str(tmp_path / 'c')]) == 1
+    assert run_command(['explain', '17']) == 2
+
+
 @pytest.mark.parametrize('arguments', [[], ['config'], ['drain', '--help']])
 def test_help_exits_0(arguments, capsys):
     assert run_command(arguments) == 0
--- a/bluebellfold/relay/operators/__init__.py
+++ b/bluebellfold/relay/operators/__init__.py
@@ -3,7 +3,6 @@
 from bluebellfold.relay.operators.explain import (
     Explanation,
     NothingFoundError,
-    explain_file,
 )
 from bluebellfold.relay.operators.settings import (
     AGENT_SPEC,
@@ -25,7 +24,6 @@
     'Explanation',
     'NothingFoundError',
     'RelayProcess',
-    'explain_file',
     'load_agent',
     'load_balancer',
 )
--- a/bluebellfold/relay/operators/explain.py
+++ b/bluebellfold/relay/operators/explain.py
@@ -1,13 +1,11 @@
 """Find the outcome of a request or a flow, and its cause, in logs."""
 
 import json
-from collections.abc import Callable, Iterable
-from pathlib import Path
-from typing import Any
+from collections.abc import Iterable
 
-from bluebellfold.core import BluebellfoldError, Record, Registry, read_only
+from bluebellfold.core import BluebellfoldError, Record, read_only
+from bluebellfold.relay.operators.causes import CAUSES, Fields
 
-Fields = dict[str, Any]
 # Fields common to all log lines. The other fields are inputs of a decision.
 COMMON_FIELDS = frozenset(
     (
@@ -22,10 +20,6 @@
         'time',
     ),
 )
-MIN_FAILED_STATUS = 500
-
-Cause = Callable[[Fields], str]
-CAUSES: Registry[str, Cause] = Registry(name='causes by log event')
 
 
 class NothingFoundError(BluebellfoldError):
@@ -47,34 +41,27 @@
         self._cause = cause
 
 
-def explain_file(wanted: str, path: str) -> Explanation:
-    """Explain the outcome of a request or a flow from a log file.
-
-    ``wanted`` is the id of a request, or of a flow as written in logs. Raise
-    NothingFoundError if no line contains it, and OSError if the file cannot
-    be read.
-    """
-    with Path(path).open(encoding='utf-8', errors='replace') as log:
-        return explain(wanted, log)
+def find_flows(wanted: str, lines: Iterable[str]) -> frozenset[str]:
+    """Return the flows of a request, or the flow itself, as in the lines."""
+    return _flows_of(wanted, _parse_lines(lines))
 
 
 def explain(wanted: str, lines: Iterable[str]) -> Explanation:
     """Explain the outcome of a request or a flow from log lines.
 
-    Raise NothingFoundError if no line contains the id ``wanted``.
+    ``wanted`` is the id of a request, or of a flow as written in logs. Raise
+    NothingFoundError if no line contains it.
     """
-    decisions = [fields for fields in map(_parse, lines) if fields]
-    flows = {
-        fields['flow']
-        for fields in decisions
-        if wanted in {fields.get('request'), fields.get('flow')}
-        and 'flow' in fields
-    }
-    matching = [fields for fields in decisions if fields.get('flow') in flows]
+    decisions = _parse_lines(lines)
+    flows = _flows_of(wanted, decisions)
+    matching = [
+        fields for fields in decisions if str(fields.get('flow')) in flows
+    ]
     if not matching:
         raise NothingFoundError(
             problem=f'no log line contains {wanted}',
-            remedy='give the logs of all balancers and agents of that time',
+            remedy='give the logs of all balancers and agents of that time, '
+            + 'decompressed',
         )
     matching.sort(key=_time)
     return Explanation(
@@ -82,6 +69,19 @@
     )
 
 
+def _parse_lines(lines: Iterable[str]) -> list[Fields]:
+    return [fields for fields in map(_parse, lines) if fields]
+
+
+def _flows_of(wanted: str, decisions: Iterable[Fields]) -> frozenset[str]:
+    return frozenset(
+        fields['flow']
+        for fields in decisions
+        if wanted in (fields.get('request'), fields.get('flow'))
+        and isinstance(fields.get('flow'), str)
+    )
+
+
 def _time(fields: Fields) -> str:
     return str(fields.get('time', ''))
 
@@ -93,7 +93,7 @@
         return None
     try:
         fields = json.loads(line[start:])
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return fields if isinstance(fields, dict) else None
 
@@ -118,52 +118,3 @@
         if describe is not None:
             return describe(fields)
     return 'the log lines contain no decision that ended the flow'
-
-
-@CAUSES.add('BBF0703')
-def _refused(fields: Fields) -> str:
-    reason = fields.get('reason')
-    version = fields.get('version')
-    return f'refused: {reason}, with configuration {version} in force'
-
-
-@CAUSES.add('BBF0706')
-def _not_found(fields: Fields) -> str:
-    denied = fields.get('denied')
-    return (
-        f'reset: all {denied} agents reported that no upstream holds the flow'
-    )
-
-
-@CAUSES.add('BBF0725')
-def _lost_by_upstream(fields: Fields) -> str:
-    process = fields.get('process')
-    return f'reset: the upstream of {process} lost the flow'
-
-
-@CAUSES.add('BBF0724')
-def _answered(fields: Fields) -> str:
-    status = int(fields.get('status', 0))
-    outcome = 'failed' if status >= MIN_FAILED_STATUS else 'answered'
-    milliseconds = fields.get('milliseconds')
-    return f'{outcome} by the upstream: status {status} after {milliseconds} ms'
-
-
-@CAUSES.add('BBF0723')
-def _unanswered(fields: Fields) -> str:
-    process = fields.get('process')
-    return (
-        f'unanswered: the upstream of {process} accepted it but sent no reply'
-    )
-
-
-@CAUSES.add('BBF0702')
-def _waiting(fields: Fields) -> str:
-    reason = fields.get('reason')
-    return f'waited for an upstream until its client timed out: {reason}'
-
-
-@CAUSES.add('BBF0701')
-def _offered(fields: Fields) -> str:
-    agent = fields.get('agent')
-    return f'unanswered: offered to the agent at {agent}, which did not respond'
