Export what processes know of agents and versions

The metrics pages told neither the list of agents nor the subsets of a balancer nor the versions that an agent has heard of, so that processes that disagree could not be found from outside. Balancers now serve the number and the checksum of the listed agents, the revision of the list, the followed and live ones, the age of the oldest report and the services of which no followed agent takes flows; agents serve the newest versions that balancers named.

The checksum is kept by the changes of the list.

--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -66,6 +66,10 @@
     hash_evenly,
     select_subset,
 )
+from bluebellfold.relay.agents.table_summary import (
+    AgentTableSummary,
+    summarise_table,
+)
 
 __all__ = (
     'ALL_FULL',
@@ -98,6 +102,7 @@
     'AgentLoad',
     'AgentTable',
     'AgentTableChange',
+    'AgentTableSummary',
     'AgentView',
     'ArrivalRate',
     'Declined',
@@ -124,4 +129,5 @@
     'select_agent',
     'select_subset',
     'split_datagram',
+    'summarise_table',
 )
--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -7,6 +7,7 @@
 from bluebellfold.relay.agents.agent_load import AgentLoad
 from bluebellfold.relay.agents.arrivals import ArrivalRate
 from bluebellfold.relay.agents.messages import READY
+from bluebellfold.relay.agents.subset import hash_entry
 
 # An agent reports at least every 0.2 s to a balancer that follows it; three
 # lost reports make it unreachable.
@@ -271,6 +272,7 @@
     __slots__ = (
         '_awaited',
         '_by_service',
+        '_checksum',
         '_followed',
         '_reporting',
         '_views',
@@ -284,11 +286,20 @@
         self._followed: dict[Address, AgentView] = {}
         self._reporting: dict[Address, AgentView] = {}
         self._awaited: dict[Address, AgentView] = {}
+        self._checksum = 0
 
     def __len__(self) -> int:
         """Return the number of agents."""
         return len(self._views)
 
+    @property
+    def checksum(self) -> int:
+        """Return a number that differs if the listed entries do.
+
+        Balancers with the same entries have the same one, whatever their order.
+        """
+        return self._checksum
+
     @property
     def views(self) -> Iterable[AgentView]:
         """Return the views of all agents."""
@@ -348,6 +359,7 @@
         for address in changed:
             self._remove(address)
             self._views[address] = AgentView(entry=wanted[address], now=now)
+            self._checksum ^= hash_entry(wanted[address])
         if changed or removed:
             self._index_services()
         return AgentTableChange(added=changed, removed=removed)
@@ -433,6 +445,9 @@
         return any(view.is_live(now) for view in self._reporting.values())
 
     def _remove(self, address: Address) -> None:
+        removed = self._views.get(address)
+        if removed is not None:
+            self._checksum ^= hash_entry(removed.entry)
         for views in (
             self._views,
             self._followed,
--- a/bluebellfold/relay/agents/subset.py
+++ b/bluebellfold/relay/agents/subset.py
@@ -37,6 +37,12 @@
     return mixed ^ (mixed >> _SHIFT)
 
 
+def hash_entry(entry: AgentEntry) -> int:
+    """Return a 32-bit hash of all fields of an entry."""
+    host, port = entry.address
+    return hash_evenly(f'{host}:{port}|{entry.service}|{entry.zone}'.encode())
+
+
 def rank_agent(identity: str, address: Address) -> int:
     """Return the rank of an agent at the balancer with an identity."""
     return hash_evenly(f'{identity}|{address[0]}:{address[1]}'.encode())
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -24,6 +24,7 @@
     decode_message,
     encode_message,
     split_datagram,
+    summarise_table,
 )
 from bluebellfold.relay.callers.home_regions import NO_REGIONS
 from bluebellfold.relay.callers.messages import CheckReadiness, LeaveRotation
@@ -46,6 +47,7 @@
 # How often a watch is told to relist while other balancers have a newer
 # version.
 RELIST_INTERVAL_SECONDS = 1.0
+MS_PER_SECOND = 1000
 NOT_SENT_COUNTER = 'agents-datagram-not-sent'
 
 
@@ -90,8 +92,17 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges by metric name."""
+        agents = summarise_table(self._relay.agent_table, self._clock.now())
+        oldest_report_ms = agents.oldest_report_seconds * MS_PER_SECOND
         return {
+            'agents-checksum': agents.checksum,
+            'agents-followed': agents.followed,
+            'agents-listed': agents.listed,
+            'agents-live': agents.live,
+            'agents-revision': self._relay.agents_revision,
             'configuration-version': self._relay.version,
+            'oldest-report-milliseconds': oldest_report_ms,
+            'services-unserved': agents.unserved,
             'evacuated-zones': len(self._relay.evacuated_zones),
             'evacuations-revision': self._relay.evacuations_revision,
             'flows': self._relay.cached_flows,
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -151,6 +151,11 @@
         """Return the revision of the list of agents."""
         return self._agents_revision
 
+    @property
+    def agent_table(self) -> AgentTable:
+        """Return what is known of agents."""
+        return self._agent_table
+
     @property
     def cached_flows(self) -> int:
         """Return the number of flows in the cache."""
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -115,10 +115,13 @@
     def gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
         now = self._clock.now()
+        versions = self._relay.versions
         return {
             'arrivals-per-second': self._relay.arrivals_per_second(now),
             'balancers': self._relay.balancer_count,
             'flows': self._relay.flow_count,
+            'newest-agents-revision': versions.agents,
+            'newest-configuration-version': versions.configuration,
             'requests-in-progress': self._relay.in_flight(now),
             'zone-evacuated': self._relay.zone_evacuated,
             'warmup-flows-per-second': self._relay.warmup_flows_per_second,
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -111,6 +111,11 @@
         """Return the subscribed balancers."""
         return self._subscriptions
 
+    @property
+    def versions(self) -> Versions:
+        """Return the newest versions that balancers have told."""
+        return self._versions
+
     @property
     def evacuation(self) -> Evacuation:
         """Return the newest state of the zone that balancers have told."""
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -15,6 +15,7 @@
     ForwardedPacket,
     Offer,
     Subscribe,
+    Versions,
 )
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.admission import FlowAdmission
@@ -139,6 +140,11 @@
         """Tell whether the upstream has announced itself or sent a packet."""
         return self._health.is_heard
 
+    @property
+    def versions(self) -> Versions:
+        """Return the newest versions that balancers have told."""
+        return self._reporter.versions
+
     @property
     def zone_evacuated(self) -> bool:
         """Return whether the zone is evacuated, as balancers have told."""
