Show what hundreds of processes know, and which of them disagree

It flags those that differ from most processes of their role in the configuration, the list of agents or the evacuated zones, and states that are wrong even if all share them.

--- a/bluebellfold/operators/command.py
+++ b/bluebellfold/operators/command.py
@@ -7,10 +7,10 @@
 
 import fire
 
-from bluebellfold.core import BluebellfoldError, SettingsError
-from bluebellfold.ini import use_one_of
+from bluebellfold.core import BluebellfoldError
 from bluebellfold.operators.arguments import (
     deadline_argument,
+    flag_arguments,
     name_arguments,
     path_arguments,
     text_arguments,
@@ -33,11 +33,11 @@
 from bluebellfold.operators.key_rotation import new_keys, rotate_keys
 from bluebellfold.operators.process_commands import drain_process, show_status
 from bluebellfold.operators.progress import ProgressBar
+from bluebellfold.operators.relay_status import show_relay_status
 from bluebellfold.operators.starting import run_role
 from bluebellfold.relay.operators.explain_logs import explain_logs
 
 PROGRAM = 'bluebellfold'
-RELAY_ROLES = ('agent', 'balancer')
 
 
 class ConfigCommands:
@@ -153,6 +153,57 @@
         return Invocation(partial(_rotate, path))
 
 
+class RelayCommands:
+    """Run the processes of the packet relay, and show their state."""
+
+    @path_arguments
+    def agent(self, settings: str) -> Invocation:
+        """Run the agent of an upstream until SIGTERM.
+
+        Args:
+            settings: Path of the settings of the process.
+        """
+        return Invocation(partial(_relay, 'agent', settings))
+
+    @path_arguments
+    def balancer(self, settings: str) -> Invocation:
+        """Run a balancer until SIGTERM.
+
+        Args:
+            settings: Path of the settings of the process.
+        """
+        return Invocation(partial(_relay, 'balancer', settings))
+
+    @text_arguments
+    @flag_arguments
+    def status(
+        self,
+        process: str,
+        *processes: str,
+        json: bool = False,
+        flagged: bool = False,
+    ) -> Invocation:
+        """Show what processes know, and which differ from the majority.
+
+        Exits with 1 if a process has a remark or does not answer. Flags come
+        after the addresses.
+
+        Args:
+            process: Address of a metrics page, or a file with one a line.
+            processes: More addresses or files.
+            json: Write one line of JSON for each process instead of tables.
+            flagged: Show only the processes with remarks.
+        """
+        return async_invocation(
+            partial(
+                show_relay_status,
+                (process, *processes),
+                as_json=json,
+                only_flagged=flagged,
+            ),
+        )
+
+
 class Commands:
     """Run and operate a layer-4 load balancer.
 
@@ -162,6 +213,7 @@
 
     config = ConfigCommands()
     keys = KeysCommands()
+    relay = RelayCommands()
 
     @path_arguments
     def balancer(self, base: str, site: str, process: str) -> Invocation:
@@ -196,17 +248,6 @@
         """
         return Invocation(partial(_explain, wanted, (log, *logs)))
 
-    @path_arguments
-    @name_arguments
-    def relay(self, role: str, settings: str) -> Invocation:
-        """Run a balancer or an agent of the packet relay.
-
-        Args:
-            role: Either balancer or agent.
-            settings: Path of the settings of the process.
-        """
-        return Invocation(partial(_relay, role, settings))
-
     @path_arguments
     def status(self, base: str, site: str, json: bool = False) -> Invocation:
         """Show the state, configuration version, flows and load of processes.
@@ -324,11 +365,6 @@
 
 def _relay(role: str, path: str) -> int:
     # Import only the modules that the role needs.
-    if role not in RELAY_ROLES:
-        raise SettingsError(
-            problem=f'the relay has no role {role}',
-            remedy=use_one_of(RELAY_ROLES),
-        )
     daemon = importlib.import_module(f'bluebellfold.daemons.relay_{role}')
     return daemon.main(path)
 
--- a/bluebellfold/relay/operators/explain_logs.py
+++ b/bluebellfold/relay/operators/explain_logs.py
@@ -8,7 +8,8 @@
     find_flows,
 )
 from bluebellfold.relay.operators.line_search import find_needle
-from bluebellfold.relay.operators.log_reader import LogReader, Progress
+from bluebellfold.relay.operators.log_reader import LogReader
+from bluebellfold.relay.operators.progress import Progress
 
 
 def explain_logs(
--- a/bluebellfold/relay/operators/log_reader.py
+++ b/bluebellfold/relay/operators/log_reader.py
@@ -3,10 +3,10 @@
 from collections.abc import Collection, Iterable, Iterator
 from itertools import chain
 from pathlib import Path
-from typing import Protocol
 
 from bluebellfold.core import BluebellfoldError
 from bluebellfold.relay.operators.line_search import find_lines, split_block
+from bluebellfold.relay.operators.progress import Progress
 
 # Larger blocks are not read faster, and smaller ones cost a call each.
 BLOCK_BYTES = 4 * 1024 * 1024
@@ -15,19 +15,6 @@
 MAX_LINE_BYTES = 1024 * 1024
 
 
-class Progress(Protocol):
-    """Show how far a long operation is."""
-
-    def start(self, label: str, total: int) -> None:
-        """Begin to show an operation of ``total`` steps."""
-
-    def advance(self, steps: int) -> None:
-        """Record that so many more steps are done."""
-
-    def finish(self) -> None:
-        """End the operation."""
-
-
 class LogReadError(BluebellfoldError):
     """Report a log that cannot be read."""
 
