Describe requests that a wrong subset or home agent fails

A balancer with another list of agents than the others follows other agents and asks other home agents; nothing in OPERATIONS.md led from a failed request to that. The line of a queued flow names its service and the number of agents listed for it, and explain names an agent that opened a lost flow and did not deny it.

--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -451,6 +451,8 @@
             'BBF0702',
             flow=format_flow(packet.flow),
             reason=reason,
+            service=service,
+            listed=len(self._agent_table.listed_for(service or '')),
             waiting=len(self._queue),
             version=self._routes.version,
         )
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -26,6 +26,8 @@
     balancer_with,
 )
 from bluebellfold.relay.tests.harness import (
+    Balancer,
+    fleet_of,
     report_of,
     route_to,
     single,
@@ -161,6 +163,22 @@
     assert not balancer.transport.resets
 
 
+# Guards against a wrong subset that logs can't tell from a short list.
+def test_log_of_a_queued_flow_tells_how_many_agents_are_listed(caplog):
+    caplog.set_level('INFO')
+    balancer = Balancer(agents=fleet_of(12))
+    balancer.receive_packet(opening_packet())
+    queued = single(
+        [
+            record
+            for record in caplog.records
+            if getattr(record, 'event', '') == 'BBF0702'
+        ]
+    )
+    assert (queued.reason, queued.service) == ('no-agent', 'counter')
+    assert queued.listed == 12
+
+
 def test_queued_flow_of_the_highest_priority_is_assigned_first():
     low, high = ('198.18.0.1', 80), ('198.18.0.1', 81)
     routes = table_of(
--- a/bluebellfold/relay/operators/explain.py
+++ b/bluebellfold/relay/operators/explain.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from bluebellfold.core import BluebellfoldError, Record, read_only
-from bluebellfold.relay.operators.causes import CAUSES, Fields
+from bluebellfold.relay.operators.causes import Fields, describe_cause
 
 # Fields common to all log lines. The other fields are inputs of a decision.
 COMMON_FIELDS = frozenset(
@@ -114,7 +114,7 @@
 
 def _find_cause(matching: list[Fields]) -> str:
     for fields in reversed(matching):
-        describe = CAUSES.get(fields.get('event', ''))
-        if describe is not None:
-            return describe(fields)
+        cause = describe_cause(fields, matching)
+        if cause is not None:
+            return cause
     return 'the log lines contain no decision that ended the flow'
--- a/bluebellfold/relay/operators/tests/test_explain.py
+++ b/bluebellfold/relay/operators/tests/test_explain.py
@@ -41,6 +41,26 @@
     assert 'busy=2' in steps[0]
 
 
+def test_agent_that_opened_a_lost_flow_and_was_not_asked_is_named():
+    # The balancer's list lacked the agent, which still holds the flow.
+    opened = line('1', 'BBF0722', process='agent-3')
+    denied = line('2', 'BBF0744', process='agent-4')
+    lost = line('3', 'BBF0706', process='balancer-2', denied=1)
+    cause = explain(FLOW, [opened, denied, lost]).cause
+    assert 'agent-3 opened it and did not deny it' in cause
+    assert 'the list of agents of balancer-2 lacked it' in cause
+
+
+@pytest.mark.parametrize('event', ['BBF0744', 'BBF0725'])
+def test_agent_that_denied_a_lost_flow_is_not_named(event):
+    lines = [
+        line('1', 'BBF0722'),
+        line('2', event),
+        line('3', 'BBF0706', process='balancer-2', denied=1),
+    ]
+    assert explain(FLOW, lines).cause.endswith('holds the flow')
+
+
 def test_unknown_id_raises_an_error_with_a_remedy():
     with pytest.raises(NothingFoundError, match='logs of all balancers'):
         explain('r-2', [OFFERED])
