--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -64,6 +64,10 @@
     hash_evenly,
     select_subset,
 )
+from bluebellfold.relay.agents.table_summary import (
+    AgentTableSummary,
+    summarise_table,
+)
 from bluebellfold.relay.agents.upstream_work import queue_capacity
 
 __all__ = (
@@ -97,6 +101,7 @@
     'AgentLoad',
     'AgentTable',
     'AgentTableChange',
+    'AgentTableSummary',
     'AgentView',
     'ArrivalRate',
     'Declined',
@@ -123,4 +128,5 @@
     'select_agent',
     'select_subset',
     'split_datagram',
+    'summarise_table',
 )
