Fix the type errors of core, platform and relay

- A sentinel's __bool__ returns Literal[False], so that a tested result is no longer a sentinel to the checker.
- is_integer, is_number and is_text are type guards.
- Values that the order of calls guarantees are read through `require`, which raises MissingValueError instead of an AttributeError of None: AgentView.reported_load, QueuedFlow.known_route and known_service.
- Sockets that `open` sets are declared without a value.
- The prediction of unservable flows orders keys only, since the flows of a route can't be compared.

Tests assert that a result is present before they read it. One of them did not test what it names: OneIterationClient._exchange took one argument of two, so that the call under test raised TypeError and each cancel appeared to end the task.

--- a/bluebellfold/core/__init__.py
+++ b/bluebellfold/core/__init__.py
@@ -25,6 +25,7 @@
     PlatformUnavailableError,
     RowConflictError,
 )
+from bluebellfold.core.presence import MissingValueError, require
 from bluebellfold.core.record import Record, read_only
 from bluebellfold.core.registry import Registry
 from bluebellfold.core.routing import (
@@ -69,6 +70,7 @@
     'ManualClock',
     'Member',
     'Message',
+    'MissingValueError',
     'MonotonicClock',
     'NO_ROUTES',
     'NO_VERSION',
@@ -97,6 +99,7 @@
     'client_host',
     'pack_address',
     'read_only',
+    'require',
     'service_address',
     'format_flow',
 )
--- a/bluebellfold/core/clock.py
+++ b/bluebellfold/core/clock.py
@@ -9,6 +9,7 @@
 
     def now(self) -> float:
         """Return the time in seconds."""
+        ...
 
 
 class MonotonicClock:
--- a/bluebellfold/core/http.py
+++ b/bluebellfold/core/http.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from bluebellfold.core.presence import require
 from bluebellfold.core.site import Endpoint
 
 READ_BYTES = 65_536
@@ -52,7 +53,7 @@
         await asyncio.sleep(0)
         try:
             async with asyncio.timeout(0):
-                await self._reader.read(1)
+                await self._connected_reader.read(1)
         except TimeoutError:
             return True
         except OSError:
@@ -74,14 +75,15 @@
         if not encoded:
             return
         self._bytes_written += len(encoded)
-        self._writer.write(encoded)
-        await self._writer.drain()
+        writer = require(self._writer, name='connection')
+        writer.write(encoded)
+        await writer.drain()
 
     async def receive(self) -> Any:
         """Return the next h11 event, or raise h11.RemoteProtocolError."""
         event = self._parser.next_event()
         while event is h11.NEED_DATA:
-            received = await self._reader.read(READ_BYTES)
+            received = await self._connected_reader.read(READ_BYTES)
             self._parser.receive_data(received)
             event = self._parser.next_event()
         return event
@@ -100,3 +102,7 @@
         """Close the connection at once, and discard unsent data."""
         if self._writer is not None:
             self._writer.transport.abort()
+
+    @property
+    def _connected_reader(self) -> asyncio.StreamReader:
+        return require(self._reader, name='connection')
--- a/bluebellfold/core/http_server.py
+++ b/bluebellfold/core/http_server.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from bluebellfold.core.presence import require
 from bluebellfold.core.record import Record, read_only
 from bluebellfold.core.site import Endpoint
 
@@ -90,7 +91,8 @@
     @property
     def endpoint(self) -> Endpoint:
         """Return the endpoint that the server listens on."""
-        host, port = self._server.sockets[0].getsockname()
+        server = require(self._server, name='listening server')
+        host, port = server.sockets[0].getsockname()
         return Endpoint(host=host, port=port)
 
     async def start(self) -> None:
--- a/bluebellfold/core/sentinel.py
+++ b/bluebellfold/core/sentinel.py
@@ -1,5 +1,7 @@
 """Define false values that give the reason of a missing result."""
 
+from typing import Literal
+
 
 class Sentinel:
     """Represent a missing result, with the reason.
@@ -17,7 +19,7 @@
         self._name = name
         self._reason = reason
 
-    def __bool__(self) -> bool:
+    def __bool__(self) -> Literal[False]:
         """Return false."""
         return False
 
--- a/bluebellfold/core/tests/test_cancellation.py
+++ b/bluebellfold/core/tests/test_cancellation.py
@@ -19,7 +19,7 @@
 class OneIterationClient(HttpClient):
     """Receive each response one iteration after the request."""
 
-    async def _exchange(self, request):
+    async def _exchange(self, request, max_body_bytes):
         await asyncio.sleep(0)
         return ClientResponse(status=200, body=request.body)
 
--- a/bluebellfold/platform/json_reader.py
+++ b/bluebellfold/platform/json_reader.py
@@ -9,7 +9,7 @@
 import json
 import math
 import re
-from typing import Any
+from typing import Any, TypeGuard
 
 from bluebellfold.core import Sentinel
 
@@ -44,7 +44,7 @@
         return UNREADABLE_JSON
 
 
-def is_integer(field: Any, *, least: int, most: int) -> bool:
+def is_integer(field: Any, *, least: int, most: int) -> TypeGuard[int]:
     """Return whether a field is a whole number within bounds.
 
     >>> is_integer(True, least=0, most=9), is_integer(9, least=0, most=9)
@@ -56,14 +56,16 @@
     return least <= field <= most
 
 
-def is_number(field: Any, *, least: float, most: float) -> bool:
+def is_number(
+    field: Any, *, least: float, most: float
+) -> TypeGuard[int | float]:
     """Return whether a field is a finite number within bounds."""
     if isinstance(field, bool) or not isinstance(field, int | float):
         return False
     return least <= field <= most
 
 
-def is_text(field: Any) -> bool:
+def is_text(field: Any) -> TypeGuard[str]:
     """Return whether a field is a short text of printable characters.
 
     >>> is_text('counter'), is_text(''), is_text('a' * 300)
--- a/bluebellfold/platform/objects.py
+++ b/bluebellfold/platform/objects.py
@@ -307,7 +307,9 @@
     An object with an unreadable revision is returned without its content.
     """
     meta = fields.get('meta') if isinstance(fields, dict) else None
-    name = meta.get('Name') if isinstance(meta, dict) else None
+    if not isinstance(meta, dict):
+        return None
+    name = meta.get('Name')
     if not is_text(name):
         return None
     revision = meta.get('Revision')
--- a/bluebellfold/platform/tests/test_decoding.py
+++ b/bluebellfold/platform/tests/test_decoding.py
@@ -54,6 +54,7 @@
 
 def test_announcement_is_decoded():
     announcement = decode_announcement('i-1', json.dumps(ANNOUNCEMENT).encode())
+    assert announcement
     assert announcement.slots == 2
     assert announcement.warmup_seconds == pytest.approx(1.5)
     assert not announcement.draining
@@ -100,7 +101,9 @@
 
 def test_routes_are_decoded():
     table = decode_routing(CONFIGURATION)
+    assert table
     route = table.find(pack_address('198.18.0.1', 8080))
+    assert route
     assert table.version == 7
     assert table.idle_seconds == 15
     assert route.repeatable
@@ -111,7 +114,9 @@
 def test_optional_fields_of_a_route_are_decoded():
     route = {**ROUTE, 'AllowedRegions': ['north', 'south']}
     table = decode_routing({**CONFIGURATION, 'Routes': [route]})
+    assert table
     found = table.find(pack_address('198.18.0.1', 8080))
+    assert found
     assert found.target_seconds == pytest.approx(0.15)
     assert found.allowed_regions == {'north', 'south'}
 
@@ -120,7 +125,9 @@
     route = {**ROUTE}
     route.pop('TargetLatencyMs')
     table = decode_routing({**CONFIGURATION, 'Routes': [route]})
+    assert table
     found = table.find(pack_address('198.18.0.1', 8080))
+    assert found
     assert found.target_seconds == 0
     assert not found.allowed_regions
 
@@ -137,7 +144,10 @@
     ('name', 'rate'), [('counter', 4), ('makeroom', 0), ('press', 0)]
 )
 def test_warmup_rate_of_a_service_is_decoded(name, rate):
-    service = decode_routing(CONFIGURATION).find_service(name)
+    table = decode_routing(CONFIGURATION)
+    assert table
+    service = table.find_service(name)
+    assert service
     assert service.warmup_flows_per_second == rate
 
 
@@ -155,7 +165,9 @@
     route = {**ROUTE, 'TrafficSplit': split}
     route.pop('Service')
     table = decode_routing({**CONFIGURATION, 'Routes': [route]})
+    assert table
     found = table.find(pack_address('198.18.0.1', 8080))
+    assert found
     assert found.select_service(0.89) == 'counter'
     assert found.select_service(0.91) == 'makeroom'
 
--- a/bluebellfold/platform/tests/test_odd_entries.py
+++ b/bluebellfold/platform/tests/test_odd_entries.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bluebellfold.core import Sentinel
-from bluebellfold.core.http_client import ClientResponse
+from bluebellfold.core.http_client import ClientResponse, HttpClient
 from bluebellfold.core.site import Endpoint
 from bluebellfold.platform import (
     UNREADABLE_ANNOUNCEMENT,
@@ -25,23 +25,27 @@
 )
 
 GOOD = b'{"meta":{"Name":"good","Revision":5},"spec":{"host":"10.0.0.1"}}'
+ENDPOINT = Endpoint(host='127.0.0.1', port=1)
 odd_parts = pytest.mark.parametrize(
     'odd', ODD_PARTS.values(), ids=ODD_PARTS.keys()
 )
 
 
-class FixedResponses:
+class FixedResponses(HttpClient):
     """Return one body as the response to each call."""
 
     def __init__(self, body):
+        super().__init__(endpoint=ENDPOINT)
         self._response = ClientResponse(status=200, body=body)
 
-    async def send_request(self, request, *, timeout_seconds):
+    async def send_request(
+        self, request, *, timeout_seconds, max_body_bytes=None
+    ):
         return self._response
 
 
 def call(method, body, **fields):
-    client = ObjectStoreClient(endpoint=Endpoint(host='127.0.0.1', port=1))
+    client = ObjectStoreClient(endpoint=ENDPOINT)
     client._http_client = FixedResponses(body)
     return asyncio.run(getattr(client, method)('agents', **fields))
 
@@ -126,6 +130,7 @@
     route = {**ROUTE, field: read_json(odd)}
     decoded = decode_routing({**CONFIGURATION, 'Routes': [route]})
     if decoded is not UNREADABLE_CONFIGURATION:
+        assert decoded
         assert decoded.size == 1
 
 
@@ -142,4 +147,5 @@
     spec = {**CONFIGURATION, field: read_json(odd)}
     decoded = decode_routing(spec)
     if decoded is not UNREADABLE_CONFIGURATION:
+        assert decoded
         assert decoded.version >= 0
--- a/bluebellfold/platform/tests/test_packets.py
+++ b/bluebellfold/platform/tests/test_packets.py
@@ -38,6 +38,7 @@
 
 def test_example_opening_packet_is_decoded():
     packet = decode_packet(OPENING, from_client=True)
+    assert packet
     assert format_flow(packet.flow) == '100.64.0.7:40001>198.18.0.1:443'
     assert packet.opens
     assert not packet.accepts
@@ -46,12 +47,14 @@
 
 def test_example_reset_is_encoded():
     packet = decode_packet(OPENING, from_client=True)
+    assert packet
     assert encode_reset(packet) == RESET_OF_OPENING
 
 
 def test_reset_of_open_flow_has_acknowledged_sequence():
     packet = client_packet(flags=ACKNOWLEDGE, acknowledged=77_000)
     reset = decode_packet(encode_reset(packet), from_client=False)
+    assert reset
     assert reset.resets
     assert reset.sequence == 77_000
     assert reset.flow == packet.flow
--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterable
 
-from bluebellfold.core import Record, read_only
+from bluebellfold.core import Record, read_only, require
 from bluebellfold.relay.agents.agent_entry import Address, AgentEntry
 from bluebellfold.relay.agents.agent_load import AgentLoad
 from bluebellfold.relay.agents.arrivals import ArrivalRate
@@ -91,6 +91,14 @@
         """Return the last load report, None before the first one."""
         return self._load
 
+    @property
+    def reported_load(self) -> AgentLoad:
+        """Return the last load report of an agent that has reported.
+
+        Raise MissingValueError before the first report.
+        """
+        return require(self._load, name='load report')
+
     @property
     def offers_sent(self) -> int:
         """Return the number of offers to the agent, modulo 2**32."""
@@ -144,7 +152,7 @@
         """Tell whether the agent is live, ready and not in backoff."""
         return (
             self.is_live(now)
-            and self._load.state == READY
+            and self.reported_load.state == READY
             and now >= self._backoff_until
         )
 
@@ -425,7 +433,7 @@
         return [
             view
             for view in self._reporting.values()
-            if view.load.service == service
+            if view.reported_load.service == service
         ]
 
     def has_live(self, now: float) -> bool:
--- a/bluebellfold/relay/agents/selection.py
+++ b/bluebellfold/relay/agents/selection.py
@@ -133,7 +133,7 @@
 
 def is_failing(view: AgentView) -> bool:
     """Tell whether too many recent requests failed at the upstream."""
-    return view.load.request_stats.failure_share >= MAX_FAILURE_SHARE
+    return view.reported_load.request_stats.failure_share >= MAX_FAILURE_SHARE
 
 
 def is_full(view: AgentView) -> bool:
@@ -145,7 +145,7 @@
     """
     if is_warmup_exhausted(view):
         return True
-    load = view.load
+    load = view.reported_load
     return view.in_flight >= queue_capacity(
         MAX_IN_FLIGHT_PER_SLOT, slots=load.slots, warming=load.warming
     )
@@ -156,10 +156,11 @@
 
     The balancer's own offers since the last report count as accepted.
     """
-    warmup = view.load.warmup
+    load = view.reported_load
+    warmup = load.warmup
     if warmup is None or warmup.flows_left >= NO_FLOW_LIMIT:
         return False
-    return view.in_flight - view.load.in_flight >= warmup.flows_left
+    return view.in_flight - load.in_flight >= warmup.flows_left
 
 
 def slowdown(view: AgentView, typical_work_seconds: float) -> float:
@@ -167,7 +168,7 @@
 
     It is 1 as far as the error of the measured mean explains the difference.
     """
-    load = view.load
+    load = view.reported_load
     measured = relative_work(load.request_stats, typical_work_seconds)
     if load.warming:
         return max(WARMING_FACTOR, measured)
@@ -227,7 +228,10 @@
     """Select the agent with the fewest requests in flight per slot."""
     return min(
         selection.views,
-        key=lambda view: (view.in_flight / view.load.slots, selection.draw()),
+        key=lambda view: (
+            view.in_flight / view.reported_load.slots,
+            selection.draw(),
+        ),
     )
 
 
@@ -261,7 +265,8 @@
     capacities = []
     for view in selection.views:
         # What one flow adds to the expected work.
-        step = slowdown(view, selection.typical_work_seconds) / view.load.slots
+        work = slowdown(view, selection.typical_work_seconds)
+        step = work / view.reported_load.slots
         expected = _expected_work(view, in_flight_per_flow, selection)
         levels.append(expected - step)
         capacities.append(1 / step)
@@ -271,7 +276,7 @@
 
 def _in_flight_per_flow(views: Collection[AgentView]) -> float:
     """Return the requests in flight that each open flow is expected to add."""
-    flows = sum(view.load.flows for view in views)
+    flows = sum(view.reported_load.flows for view in views)
     in_flight = sum(view.in_flight for view in views)
     return min(in_flight / max(flows, 1), 1)
 
@@ -279,7 +284,7 @@
 def _expected_work(
     view: AgentView, in_flight_per_flow: float, selection: SelectionInput
 ) -> float:
-    load = view.load
+    load = view.reported_load
     expected = view.in_flight + 1 + load.flows * in_flight_per_flow
     work = (
         expected / load.slots * slowdown(view, selection.typical_work_seconds)
@@ -288,7 +293,7 @@
 
 
 def _median_work_seconds(views: Iterable[AgentView]) -> float:
-    measured = [view.load.request_stats.work_seconds for view in views]
+    measured = [view.reported_load.request_stats.work_seconds for view in views]
     known = [seconds for seconds in measured if seconds]
     # The lower median. Importing the module statistics, which imports
     # fractions and decimal, would add 4 ms to the 119 ms of a process's
--- a/bluebellfold/relay/balancers/copies/tests/test_actor.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_actor.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 
@@ -60,7 +61,7 @@
     return {'name': name, 'revision': revision, 'spec': spec}
 
 
-def body_of(*, version=1, revision=5, age_ms=0, agents=(AGENT,)):
+def body_of(*, version: Any = 1, revision=5, age_ms=0, agents=(AGENT,)):
     listed = [
         object_of(spec, name=str(index), revision=index + 1)
         for index, spec in enumerate(agents)
@@ -256,7 +257,9 @@
                     await asyncio.sleep(0.01)
             await asyncio.sleep(0.1)
             assert_no_update(main_actor)
-            assert actor._copies.find(CONFIG).revision == 50
+            held = actor._copies.find(CONFIG)
+            assert held
+            assert held.revision == 50
 
     asyncio.run(scenario())
 
@@ -304,6 +307,7 @@
         actor.handle_message(late)
         assert_no_update(main_actor)
         held = actor._copies.find(AGENTS_KIND)
+        assert held
         assert (held.peer, held.revision) == ('', 60)
 
     caplog.set_level('INFO')
--- a/bluebellfold/relay/balancers/copies/tests/test_held_copies.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_held_copies.py
@@ -69,7 +69,9 @@
     copies = holding(copy_of(confirmed_at=NOW - 20))
     check(copies, revision=5, confirmed_at=NOW - 3)
     check(copies, revision=5, confirmed_at=NOW - 9)
-    assert copies.find(KIND).age_seconds(NOW) == 3
+    held = copies.find(KIND)
+    assert held
+    assert held.age_seconds(NOW) == 3
 
 
 # Guards against a chain of balancers that keep an unconfirmed state alive.
--- a/bluebellfold/relay/balancers/copies/tests/test_query_plan.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_query_plan.py
@@ -15,7 +15,7 @@
 CLIENT_GIVES_UP_MS = 1400
 
 
-def queries_of(plan, *, seconds, has_copy=False, lasting=0):
+def queries_of(plan, *, seconds, has_copy=False, lasting: float = 0):
     """Return the times and seeds of the queries, each ``lasting`` so long."""
     now = float(0)
     queries = []
--- a/bluebellfold/relay/balancers/tests/test_subscriptions.py
+++ b/bluebellfold/relay/balancers/tests/test_subscriptions.py
@@ -17,9 +17,9 @@
 
 def test_only_the_first_renewal_adds_a_subscription():
     subscriptions = Subscriptions()
-    renewal = {'idle_seconds': 15, 'offers_sent': 0, 'now': 0}
-    assert subscriptions.renew(FIRST, **renewal)
-    assert not subscriptions.renew(FIRST, **renewal)
+    assert subscriptions.renew(FIRST, idle_seconds=15, offers_sent=0, now=0)
+    renewed = subscriptions.renew(FIRST, idle_seconds=15, offers_sent=0, now=0)
+    assert not renewed
 
 
 def test_offers_are_counted_for_each_balancer():
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -76,9 +76,10 @@
         self._relist_due = clock.now()
         self._was_ready = False
         self._balancers = 0
-        self._client_socket: DatagramSocket | None = None
-        self._agent_socket: DatagramSocket | None = None
-        self._outbox: Outbox | None = None
+        # ``open`` sets the sockets and what writes to them.
+        self._client_socket: DatagramSocket
+        self._agent_socket: DatagramSocket
+        self._outbox: Outbox
         self._relay = ClientRelay(
             identity=f'{agent_endpoint.host}:{agent_endpoint.port}',
             zone=zone,
--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -135,10 +135,11 @@
         agent = assignment.agent
         if agent is not None:
             view = self._agent_table.find(agent)
-            offerable = view is not None and self._is_offerable(
-                view, packet, now
-            )
-            if offerable and packet.attempt < LAST_ATTEMPT:
+            if (
+                view is not None
+                and self._is_offerable(view, packet, now)
+                and packet.attempt < LAST_ATTEMPT
+            ):
                 self._send_offer(packet, assignment, view, now)
                 return
             assignment.give_up_offer(agent)
@@ -249,9 +250,9 @@
             self._assign(queued.packet, assignment, now)
             if queued.has_left:
                 service_queue.charge(queued)
-            elif queued.route.allowed_regions:
+            elif queued.known_route.allowed_regions:
                 # Agents of other regions may have capacity for other routes.
-                blocked_routes.add(queued.route.address)
+                blocked_routes.add(queued.known_route.address)
             elif self._is_passed_over(queued, assignment, now):
                 service_queue.set_aside(queued)
             else:
@@ -267,7 +268,7 @@
         if not assignment.excluded_agents:
             return False
         selected = select_agent(
-            self._eligibility.select(queued.service, queued.route),
+            self._eligibility.select(queued.known_service, queued.known_route),
             zone=self._zone,
             now=now,
             draw=self._draw,
@@ -360,7 +361,7 @@
             excluded=assignment.excluded_agents,
             policy=self._policy,
         )
-        if not selected or selected.in_flight >= selected.load.slots:
+        if not selected or selected.in_flight >= selected.reported_load.slots:
             # Agents outside of the subset may be idle.
             self._follower.sample(
                 service, now, allowed_regions=route.allowed_regions
@@ -379,7 +380,9 @@
         self._send_offer(packet, assignment, selected, now)
 
     def _is_ineligible(self, queued: QueuedFlow) -> bool:
-        obstacle = self._eligibility.find_obstacle(queued.service, queued.route)
+        obstacle = self._eligibility.find_obstacle(
+            queued.known_service, queued.known_route
+        )
         return obstacle is not None
 
     def _is_offerable(
@@ -405,7 +408,8 @@
         view: AgentView,
         now: float,
     ) -> None:
-        service = view.load.service
+        load = view.reported_load
+        service = load.service
         self._journal.count('flows-offered')
         self._journal.log(
             'BBF0701',
@@ -414,14 +418,14 @@
             service=service,
             agent=view.address[0],
             busy=view.in_flight,
-            slots=view.load.slots,
+            slots=load.slots,
             report_age_ms=round(view.report_age_seconds(now) * MS_PER_SECOND),
             arrivals_of_others=round(view.arrivals_of_others(now), 1),
             version=self._routes.version,
         )
         max_in_flight = NO_IN_FLIGHT_LIMIT
         if assignment.declines < LIMITED_OFFERS:
-            max_in_flight = view.in_flight + view.load.slots + MARGIN_REQUESTS
+            max_in_flight = view.in_flight + load.slots + MARGIN_REQUESTS
         view.count_offer(now)
         self._pending_offers.add(packet, view.address, now)
         self._transport.send_to_agent(
--- a/bluebellfold/relay/callers/contention.py
+++ b/bluebellfold/relay/callers/contention.py
@@ -61,4 +61,8 @@
 def _is_ready(view: AgentView, now: float) -> bool:
     # An agent that isn't followed reports only now and then, so a new report
     # does not show that it is back.
-    return view.is_followed and view.is_live(now) and view.load.state == READY
+    return (
+        view.is_followed
+        and view.is_live(now)
+        and view.reported_load.state == READY
+    )
--- a/bluebellfold/relay/callers/eligibility.py
+++ b/bluebellfold/relay/callers/eligibility.py
@@ -62,7 +62,7 @@
             return True
         # Another service may have taken over the address.
         services = {share.service for share in route.shares}
-        if view.load.service not in services:
+        if view.reported_load.service not in services:
             return False
         return self._home_regions.allows(view, route.allowed_regions)
 
--- a/bluebellfold/relay/callers/fair_queue.py
+++ b/bluebellfold/relay/callers/fair_queue.py
@@ -61,7 +61,7 @@
 
     def add(self, queued: QueuedFlow) -> None:
         """Add a flow with a known route."""
-        route_queue = self._find_or_add(queued.route)
+        route_queue = self._find_or_add(queued.known_route)
         if not route_queue:
             route_queue.start_at(self._virtual_time)
         self._last_number += 1
@@ -73,11 +73,11 @@
         """Remove a flow that was added."""
         self._size -= 1
         queued.drop_number()
-        self._routes[queued.route.address].count_removed(queued)
+        self._routes[queued.known_route.address].count_removed(queued)
 
     def charge(self, queued: QueuedFlow) -> None:
         """Count the assignment of a flow toward its route and client."""
-        route_queue = self._routes[queued.route.address]
+        route_queue = self._routes[queued.known_route.address]
         self._virtual_time = max(self._virtual_time, route_queue.start_tag)
         cost = 1 / self.weight(route_queue.route)
         route_queue.charge(queued, cost)
--- a/bluebellfold/relay/callers/feasibility.py
+++ b/bluebellfold/relay/callers/feasibility.py
@@ -70,13 +70,15 @@
     """
     unservable = []
     served = 0
-    upcoming = [
-        (by_share(route_queue), _InTurn(queue, route_queue, now))
+    flows_by_route = {
+        route_queue.route.address: _InTurn(queue, route_queue, now)
         for route_queue in queue.routes
-    ]
+    }
+    upcoming = [by_share(route_queue) for route_queue in queue.routes]
     heapq.heapify(upcoming)
     while upcoming:
-        (start_tag, *rest), flows = upcoming[0]
+        start_tag, priority, address = upcoming[0]
+        flows = flows_by_route[address]
         queued = next(flows.remaining, None)
         if queued is None:
             heapq.heappop(upcoming)
@@ -84,8 +86,9 @@
             unservable.append(queued)
         else:
             served += 1
-            key = (start_tag + flows.cost, *rest)
-            heapq.heapreplace(upcoming, (key, flows))
+            heapq.heapreplace(
+                upcoming, (start_tag + flows.cost, priority, address)
+            )
     return unservable
 
 
@@ -128,9 +131,9 @@
 def _refusal_key(
     queued: QueuedFlow, exceeding: set[bytes]
 ) -> tuple[bool, int, float]:
-    if queued.route.address in exceeding:
+    if queued.known_route.address in exceeding:
         return (False, 0, queued.deadline)
-    return (True, -queued.route.priority, queued.deadline)
+    return (True, -queued.known_route.priority, queued.deadline)
 
 
 def _key(refusable: tuple[tuple, QueuedFlow]) -> tuple:
--- a/bluebellfold/relay/callers/flow_cache.py
+++ b/bluebellfold/relay/callers/flow_cache.py
@@ -211,6 +211,7 @@
             (flow, assignment.agent)
             for flow, assignment in self._assignments.items()
             if assignment.detect_registration_due(now)
+            and assignment.agent is not None
         ]
 
     def remove(self, flow: bytes) -> None:
--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -7,7 +7,7 @@
 only after every agent that is alive has denied it, or many presume it absent.
 """
 
-from bluebellfold.core import Packet, format_flow, service_address
+from bluebellfold.core import Packet, format_flow, require, service_address
 from bluebellfold.relay.agents import (
     Address,
     AgentTable,
@@ -75,14 +75,16 @@
         assignment = self._flows.find(packet.flow)
         agent = None if assignment is None else assignment.agent
         view = None if agent is None else self._agent_table.find(agent)
-        if view is None or view.is_presumed_dead(now):
+        if assignment is None or view is None or view.is_presumed_dead(now):
             self._look_up(packet, now)
             return
         assignment.touch(now)
         if packet.finishes or packet.resets:
             assignment.mark_ended()
         self._follower.check_owner(view, now)
-        self._transport.send_to_agent(agent, ForwardedPacket(packet=packet))
+        self._transport.send_to_agent(
+            view.address, ForwardedPacket(packet=packet)
+        )
 
     def update_homes(self) -> None:
         """Take the home agents of flows from the new list of agents."""
@@ -279,9 +281,13 @@
         return tuple(
             home
             for home in self._homes.find(flow)
-            if not self._agent_table.find(home).is_presumed_dead(now)
+            if not self._is_presumed_dead(home, now)
         )
 
+    def _is_presumed_dead(self, home: Address, now: float) -> bool:
+        view = require(self._agent_table.find(home), name='listed home agent')
+        return view.is_presumed_dead(now)
+
     def _query_all_agents(
         self, flow: bytes, lookup: PendingLookup, now: float
     ) -> None:
--- a/bluebellfold/relay/callers/queued_flow.py
+++ b/bluebellfold/relay/callers/queued_flow.py
@@ -5,7 +5,7 @@
 the request at the timeout of its route.
 """
 
-from bluebellfold.core import Packet, Route, client_host
+from bluebellfold.core import Packet, Route, client_host, require
 
 # A client gives up 1.4 s after its first opening packet. If the flow were
 # assigned in the last 0.1 s, the reply would not reach the client in time.
@@ -93,6 +93,22 @@
         """Return the service, None while no configuration is known."""
         return self._service
 
+    @property
+    def known_route(self) -> Route:
+        """Return the route of a flow that was queued with one.
+
+        Raise MissingValueError if no configuration was known.
+        """
+        return require(self._route, name='route of the queued flow')
+
+    @property
+    def known_service(self) -> str:
+        """Return the service of a flow that was queued with one.
+
+        Raise MissingValueError if no configuration was known.
+        """
+        return require(self._service, name='service of the queued flow')
+
     @property
     def deadline(self) -> float:
         """Return when the flow is of no use to its client any longer."""
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -431,11 +431,12 @@
         self._journal.log('BBF0741', paused_ms=round(paused * MS_PER_SECOND))
 
     def _log_agent_state(self, view: AgentView, *, was_live: bool) -> None:
+        load = view.reported_load
         self._journal.log(
             'BBF0709',
             agent=view.address[0],
             was_live=was_live,
-            service=view.load.service,
-            state=view.load.state,
-            sequence=view.load.sequence,
+            service=load.service,
+            state=load.state,
+            sequence=load.sequence,
         )
--- a/bluebellfold/relay/callers/route_queue.py
+++ b/bluebellfold/relay/callers/route_queue.py
@@ -30,10 +30,12 @@
     @property
     def number(self) -> int:
         """Return the number, which is new each time it is added."""
+        ...
 
     @property
     def opened_at(self) -> float:
         """Return the time that orders it."""
+        ...
 
 
 Ordered = TypeVar('Ordered', bound=Numbered)
--- a/bluebellfold/relay/callers/tests/replay.py
+++ b/bluebellfold/relay/callers/tests/replay.py
@@ -109,7 +109,7 @@
         *,
         rate,
         end,
-        start=0,
+        start: float = 0,
         clients=20,
         first_client=0,
         work_seconds=0.04,
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -477,6 +477,7 @@
     waiting = ('100.64.0.1', 1)
     balancer = contended_balancer(waiting, routes=routes)
     view = balancer.relay._agent_table.find(FIRST)
+    assert view
     view.back_off_until(balancer.now + 0.005)
     balancer.receive_message(FIRST, report_of(in_flight=5, sequence=4))
     assert not balancer.transport.pop_messages(Offer)
@@ -493,9 +494,11 @@
     routes = table_of(route_to(priority=0), route_to(priority=2, address=low))
     waiting = ('100.64.0.1', 1)
     balancer = contended_balancer(waiting, routes=routes)
-    balancer.relay._agent_table.find(SECOND).back_off_until(balancer.now + 1)
+    view = balancer.relay._agent_table.find(SECOND)
+    assert view
+    view.back_off_until(balancer.now + 1)
     balancer.receive_message(SECOND, report_of(in_flight=5, sequence=4))
-    balancer.relay._agent_table.find(SECOND).back_off_until(balancer.now)
+    view.back_off_until(balancer.now)
     declined = client_packet(destination=low, flags=OPEN)
     balancer.receive_message(
         FIRST, Declined(packet=declined, reason=DECLINED_FULL)
--- a/bluebellfold/relay/callers/tests/test_fair_queue.py
+++ b/bluebellfold/relay/callers/tests/test_fair_queue.py
@@ -26,7 +26,11 @@
         self.queue = FairQueue()
         self.port = 0
 
-    def add(self, route, *, times=1, host='100.64.0.1', waited=0):
+    def add(
+        self, route, *, times=1, host='100.64.0.1', waited: float = 0
+    ) -> QueuedFlow:
+        """Add flows, and return the last one."""
+        added = []
         for _ in range(times):
             self.port += 1
             queued = QueuedFlow(
@@ -36,13 +40,15 @@
                 opened_at=NOW - waited,
             )
             self.queue.add(queued)
-        return queued
+            added.append(queued)
+        return added[-1]
 
     def serve(self, times, *, skipped=()):
         """Assign flows in order, and return them."""
         served = []
         for _ in range(times):
             queued = self.queue.next_by_share(NOW, skipped)
+            assert queued
             self.queue.remove(queued)
             self.queue.charge(queued)
             served.append(queued)
--- a/bluebellfold/relay/callers/tests/test_feasibility.py
+++ b/bluebellfold/relay/callers/tests/test_feasibility.py
@@ -108,7 +108,7 @@
     late = Filler()
     for route in (URGENT, BULK):
         late.add(route.replace(timeout_seconds=0.3), times=3, waited=0.1)
-    assert {queued.route.priority for queued in refused(late)} == {
+    assert {queued.known_route.priority for queued in refused(late)} == {
         BULK.priority
     }
 
@@ -134,7 +134,7 @@
     return queue
 
 
-def flows_of(times, *, opened_at=NOW):
+def flows_of(times, *, opened_at: float = NOW):
     filler = Filler()
     return [filler.add(NORMAL, waited=NOW - opened_at) for _ in range(times)]
 
--- a/bluebellfold/relay/callers/tests/test_flow_queue.py
+++ b/bluebellfold/relay/callers/tests/test_flow_queue.py
@@ -89,7 +89,9 @@
     # come back within milliseconds.
     queue = FlowQueue()
     queue_flow(queue, 1, route_to())
-    assert queue.find_service(COUNTER).detect_contention(1)
+    service_queue = queue.find_service(COUNTER)
+    assert service_queue is not None
+    assert service_queue.detect_contention(1)
     for _ in range(2):
         queue.remove(packet_of(1).flow)
         assert not queue.pop_drained(1)
--- a/bluebellfold/relay/store/evacuations.py
+++ b/bluebellfold/relay/store/evacuations.py
@@ -4,7 +4,7 @@
 import random
 
 from bluebellfold.collectors import log_event
-from bluebellfold.core import Actor, Endpoint, Registry
+from bluebellfold.core import Actor, Endpoint, Registry, Sentinel
 from bluebellfold.core.backoff import Backoff
 from bluebellfold.platform import (
     EVACUATIONS_KIND,
@@ -74,7 +74,7 @@
 
     def _apply_change(self, change: Change) -> None:
         zone = decode_evacuated_zone(change.stored)
-        if zone is UNUSABLE_ZONE:
+        if isinstance(zone, Sentinel):
             self._reject(change.stored)
             return
         self._zones.discard(zone)
--- a/bluebellfold/relay/store/tests/test_evacuations.py
+++ b/bluebellfold/relay/store/tests/test_evacuations.py
@@ -247,11 +247,11 @@
     actor = RecordingActor()
     endpoint = Endpoint(host='127.0.0.1', port=1)
     watch = EvacuationWatch(endpoint=endpoint, actor=actor)
-    message = None
+    zones = None
     for method, changes in steps:
         getattr(watch, method)(changes)
-        message = actor.received.get_nowait()
-    return message.zones
+        zones = actor.received.get_nowait().zones
+    return zones
 
 
 @pytest.mark.parametrize('name', ['', ' ', ' a', 'a\n', '\x00', 'z' * 300])
--- a/bluebellfold/relay/store/tests/test_odd_agents.py
+++ b/bluebellfold/relay/store/tests/test_odd_agents.py
@@ -40,10 +40,10 @@
     watch = AgentWatch(endpoint=Endpoint(host='127.0.0.1', port=1), actor=actor)
     for method, changes in steps:
         getattr(watch, method)(changes)
-    message = None
+    messages = []
     while not actor.received.empty():
-        message = actor.received.get_nowait()
-    return [entry.address[0] for entry in message.entries]
+        messages.append(actor.received.get_nowait())
+    return [entry.address[0] for entry in messages[-1].entries]
 
 
 @pytest.mark.parametrize('spec', ODD_SPECS, ids=range(len(ODD_SPECS)))
--- a/bluebellfold/relay/store/watching.py
+++ b/bluebellfold/relay/store/watching.py
@@ -7,10 +7,9 @@
 from random import random
 
 from bluebellfold.collectors import log_event
-from bluebellfold.core import Actor, Message, Registry
+from bluebellfold.core import Actor, Message, Registry, Sentinel
 from bluebellfold.core.backoff import Backoff
 from bluebellfold.platform import (
-    HISTORY_GONE,
     Changes,
     ObjectStoreClient,
     StoredObject,
@@ -103,7 +102,7 @@
 
     @reactions.add(Relist)
     def _list_again(self, message: Relist) -> None:
-        if self._revision is None:
+        if self._revision is None or self._watch_task is None:
             # The kind is being listed already.
             return
         log_event(_log, 'BBF0737', kind=self._kind, reason=message.reason)
@@ -150,7 +149,7 @@
                 self._wait_seconds, balancers=self._balancers, draw=self._draw
             ),
         )
-        if changes is HISTORY_GONE:
+        if isinstance(changes, Sentinel):
             log_event(_log, 'BBF0731', kind=self._kind, revision=self._revision)
             self._revision = None
             return False
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -100,7 +100,9 @@
     )
 
 
-def request_stats_of(*, work_seconds=0, failure_share=0, **changes):
+def request_stats_of(
+    *, work_seconds: float = 0, failure_share: float = 0, **changes
+):
     return RequestStats(
         work_seconds=work_seconds, failure_share=failure_share, **changes
     )
--- a/bluebellfold/relay/tests/replay.py
+++ b/bluebellfold/relay/tests/replay.py
@@ -176,7 +176,9 @@
                 return
             limit = 0xFF
             if declines < LIMITED_OFFERS:
-                limit = view.in_flight + view.load.slots + MARGIN_REQUESTS
+                limit = (
+                    view.in_flight + view.reported_load.slots + MARGIN_REQUESTS
+                )
             view.count_offer(now)
             upstream = balancer[view]
             work = self._random.choice(WORK)
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -87,11 +87,12 @@
         self._journal = journal
         self._stopping_since = float(0)
         self._timer: asyncio.TimerHandle | None = None
-        self._balancer_socket: DatagramSocket | None = None
-        self._outbox: Outbox | None = None
         self._registrar: Actor | None = None
-        self._outbound_socket: DatagramSocket | None = None
-        self._upstream_socket: DatagramSocket | None = None
+        # ``open`` sets the sockets and what writes to them.
+        self._balancer_socket: DatagramSocket
+        self._outbox: Outbox
+        self._outbound_socket: DatagramSocket
+        self._upstream_socket: DatagramSocket
         self._relay = UpstreamRelay(
             zone=zone,
             incarnation=incarnation,
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -5,7 +5,7 @@
 balancer's view of the upstream differs.
 """
 
-from bluebellfold.core import format_flow
+from bluebellfold.core import format_flow, require
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
     DECLINED_EVACUATED,
@@ -102,9 +102,12 @@
             self._flows.remove(key)
             self._reporter.report_state_change(now)
             self._transport.send_to_balancer(
-                flow.balancer,
+                require(flow.balancer, name='balancer of an offered flow'),
                 Declined(
-                    packet=flow.opening_packet, reason=DECLINED_UNANSWERED
+                    packet=require(
+                        flow.opening_packet, name='packet of an offered flow'
+                    ),
+                    reason=DECLINED_UNANSWERED,
                 ),
             )
 
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -1,6 +1,6 @@
 """Forward the packets of an upstream's flows in both directions."""
 
-from bluebellfold.core import Packet, Sentinel, format_flow
+from bluebellfold.core import Packet, Sentinel, format_flow, require
 from bluebellfold.relay.agents import (
     DECLINED_REJECTED,
     Address,
@@ -239,7 +239,11 @@
         )
         self._flows.remove(packet.flow)
         if flow is not None and flow.state == OFFERED:
-            self._decline_rejected(flow.opening_packet, flow.balancer, now)
+            self._decline_rejected(
+                require(flow.opening_packet, name='packet of an offered flow'),
+                require(flow.balancer, name='balancer of an offered flow'),
+                now,
+            )
         probes = self._probes.pop(packet.flow, {})
         if probes and flow is None:
             self._unknown_flows.record_returned(packet.flow)
@@ -285,7 +289,10 @@
         self, packet: Packet, flow: UpstreamFlow, now: float
     ) -> None:
         # A rejection may be sent before the whole request has arrived.
-        seconds = now - (flow.received_at or flow.requested_at)
+        begun_at = flow.received_at or require(
+            flow.requested_at, name='request in progress'
+        )
+        seconds = now - begun_at
         status = self._transport.status(packet)
         self._performance.record_response(
             seconds,
--- a/bluebellfold/relay/upstreams/tests/test_start_order.py
+++ b/bluebellfold/relay/upstreams/tests/test_start_order.py
@@ -224,4 +224,5 @@
         live_sequence += 1
         due += 1
     assert verdicts[-1].accepted, 'within DrainMs of the last late one'
+    assert order.announcement
     assert order.announcement.start == (name, born)
--- a/bluebellfold/relay/upstreams/tests/test_warmup.py
+++ b/bluebellfold/relay/upstreams/tests/test_warmup.py
@@ -177,7 +177,7 @@
     assert take_all(limit, 10) == SLACK
 
 
-def cold_agent(*, rate=RATE, warmup_seconds=30, **bounds):
+def cold_agent(*, rate=RATE, warmup_seconds: float = 30, **bounds):
     agent = Agent(
         announced=False, **{'slack': SLACK, 'overshoot': OVERSHOOT, **bounds}
     )
--- a/bluebellfold/relay/upstreams/transport.py
+++ b/bluebellfold/relay/upstreams/transport.py
@@ -23,9 +23,12 @@
 
     def request_id(self, packet: Packet) -> str:
         """Return the id of the request that begins in a packet."""
+        ...
 
     def request_bytes(self, packet: Packet) -> int | None:
         """Return the length of the request, None if unknown."""
+        ...
 
     def status(self, packet: Packet) -> int:
         """Return the status of the response that begins in a packet."""
+        ...
