--- a/benchmarks/explain_logs.py
+++ b/benchmarks/explain_logs.py
@@ -60,8 +60,9 @@
         port = random.randrange(1024, 65536)
         client = f'100.64.{number // 250 % 250}.{number % 250}:{port}'
         request = f'{random.getrandbits(64):016x}'
-        requests.append((request, f'{client}>198.18.0.{number % 12}:443'))
-        for name, line in _request_lines(moment, *requests[-1], random):
+        flow = f'{client}>198.18.0.{number % 12}:443'
+        requests.append((request, flow))
+        for name, line in _request_lines(moment, request, flow, random):
             logs[name].write(line)
     for log in logs.values():
         log.close()
--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -1,9 +1,9 @@
 """Track the load and reachability of each agent at a balancer."""
 
-from collections.abc import Collection, Iterable, ValuesView
+from collections.abc import Collection, Iterable
 from itertools import islice
 
-from bluebellfold.core import Record, read_only
+from bluebellfold.core import Record, read_only, require
 from bluebellfold.relay.agents.agent_entry import Address, AgentEntry
 from bluebellfold.relay.agents.agent_load import AgentLoad
 from bluebellfold.relay.agents.arrivals import ArrivalRate
@@ -93,6 +93,14 @@
         """Return the last load report, None before the first one."""
         return self._load
 
+    @property
+    def reported_load(self) -> AgentLoad:
+        """Return the last load report of an agent that has reported.
+
+        Raise MissingValueError before the first report.
+        """
+        return require(self._load, name='load report')
+
     @property
     def offers_sent(self) -> int:
         """Return the number of offers to the agent, modulo 2**32."""
@@ -146,7 +154,7 @@
         """Tell whether the agent is live, ready and not in backoff."""
         return (
             self.is_live(now)
-            and self._load.state == READY
+            and self.reported_load.state == READY
             and now >= self._backoff_until
         )
 
@@ -302,7 +310,7 @@
         return self._checksum
 
     @property
-    def views(self) -> ValuesView[AgentView]:
+    def views(self) -> Iterable[AgentView]:
         """Return the views of all agents, in a fixed order."""
         return self._views.values()
 
@@ -440,7 +448,7 @@
         return [
             view
             for view in self._reporting.values()
-            if view.load.service == service
+            if view.reported_load.service == service
         ]
 
     def has_live(self, now: float) -> bool:
--- a/bluebellfold/relay/agents/policies.py
+++ b/bluebellfold/relay/agents/policies.py
@@ -70,7 +70,10 @@
     """Select the agent with the fewest requests in flight per slot."""
     return min(
         selection.views,
-        key=lambda view: (view.in_flight / view.load.slots, selection.draw()),
+        key=lambda view: (
+            view.in_flight / view.reported_load.slots,
+            selection.draw(),
+        ),
     )
 
 
@@ -110,12 +113,16 @@
     their flows over them.
     """
     local = [
-        view for view in selection.views if view.load.zone == selection.zone
+        view
+        for view in selection.views
+        if view.reported_load.zone == selection.zone
     ]
     if not local:
         return selection.views, ()
     return local, [
-        view for view in selection.views if view.load.zone != selection.zone
+        view
+        for view in selection.views
+        if view.reported_load.zone != selection.zone
     ]
 
 
@@ -132,7 +139,8 @@
     """
     views = (*candidates[0], *candidates[1])
     capacities = [
-        view.load.slots / slowdown(view, selection.typical_work_seconds)
+        view.reported_load.slots
+        / slowdown(view, selection.typical_work_seconds)
         for view in views
     ]
     works = _works_with_zone_cost(views, selection)
@@ -161,6 +169,8 @@
 ) -> list[float]:
     works = expected_works(views, selection.typical_work_seconds)
     return [
-        work if view.load.zone == selection.zone else work + CROSS_ZONE_COST
+        work
+        if view.reported_load.zone == selection.zone
+        else work + CROSS_ZONE_COST
         for view, work in zip(views, works, strict=True)
     ]
--- a/bluebellfold/relay/agents/selection.py
+++ b/bluebellfold/relay/agents/selection.py
@@ -77,7 +77,7 @@
 
 def is_failing(view: AgentView) -> bool:
     """Tell whether too many recent requests failed at the upstream."""
-    return view.load.request_stats.failure_share >= MAX_FAILURE_SHARE
+    return view.reported_load.request_stats.failure_share >= MAX_FAILURE_SHARE
 
 
 def is_full(view: AgentView) -> bool:
@@ -89,7 +89,7 @@
     """
     if is_warmup_exhausted(view):
         return True
-    load = view.load
+    load = view.reported_load
     return view.in_flight >= queue_capacity(
         MAX_IN_FLIGHT_PER_SLOT, slots=load.slots, warming=load.warming
     )
@@ -100,7 +100,8 @@
 
     The balancer's own offers since the last report count as accepted.
     """
-    warmup = view.load.warmup
+    load = view.reported_load
+    warmup = load.warmup
     if warmup is None or warmup.flows_left >= NO_FLOW_LIMIT:
         return False
-    return view.in_flight - view.load.in_flight >= warmup.flows_left
+    return view.in_flight - load.in_flight >= warmup.flows_left
--- a/bluebellfold/relay/agents/table_summary.py
+++ b/bluebellfold/relay/agents/table_summary.py
@@ -50,7 +50,11 @@
     """Return the summary; its cost doesn't grow with the list of agents."""
     followed = table.followed
     ages = [view.report_age_seconds(now) for view in followed]
-    served = {view.load.service for view in followed if view.accepts_flows(now)}
+    served = {
+        view.reported_load.service
+        for view in followed
+        if view.accepts_flows(now)
+    }
     unserved = [
         service
         for service in table.services
--- a/bluebellfold/relay/agents/upstream_work.py
+++ b/bluebellfold/relay/agents/upstream_work.py
@@ -30,7 +30,7 @@
 
     It is 1 as far as the error of the measured mean explains the difference.
     """
-    load = view.load
+    load = view.reported_load
     measured = relative_work(load.request_stats, typical_work_seconds)
     if load.warming:
         return max(WARMING_FACTOR, measured)
@@ -87,12 +87,12 @@
     The unit is requests in flight per slot of an upstream with typical work.
     """
     # Each open flow is expected to add as many requests as flows have now.
-    flows = sum(view.load.flows for view in views)
+    flows = sum(view.reported_load.flows for view in views)
     in_flight = sum(view.in_flight for view in views)
     in_flight_per_flow = min(in_flight / max(flows, 1), 1)
     return [
-        (view.in_flight + 1 + view.load.flows * in_flight_per_flow)
-        / view.load.slots
+        (view.in_flight + 1 + view.reported_load.flows * in_flight_per_flow)
+        / view.reported_load.slots
         * slowdown(view, typical_work_seconds)
         for view in views
     ]
@@ -100,7 +100,7 @@
 
 def median_work_seconds(views: Iterable[AgentView]) -> float:
     """Return the lower median of the measured work, 0 if none is known."""
-    measured = [view.load.request_stats.work_seconds for view in views]
+    measured = [view.reported_load.request_stats.work_seconds for view in views]
     known = [seconds for seconds in measured if seconds]
     # Importing the module statistics, which imports fractions and decimal,
     # would add 4 ms to the 119 ms of a process's imports.
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -37,6 +37,7 @@
 
 COUNTER = 'counter'
 ZONE = 'a'
+ZONES = ('a', 'b', 'c')
 UPSTREAM_START_MS = 1_000_000
 ANNOUNCEMENT_SECONDS = 1.0
 TICK_SECONDS = 0.05
@@ -82,7 +83,7 @@
     return Announcement(**{**fields, **changes})
 
 
-def fleet_of(count, *, zones='abc'):
+def fleet_of(count, *, zones=ZONES):
     """Return the entries of agents of one service, spread over zones."""
     return [
         AgentEntry(
@@ -100,7 +101,9 @@
     )
 
 
-def request_stats_of(*, work_seconds=0, failure_share=0, **changes):
+def request_stats_of(
+    *, work_seconds: float = 0, failure_share: float = 0, **changes
+):
     return RequestStats(
         work_seconds=work_seconds, failure_share=failure_share, **changes
     )
--- a/scripts/regression/rendering.py
+++ b/scripts/regression/rendering.py
@@ -110,7 +110,7 @@
 
 def _plot_days(figures: DeploymentFigures) -> Iterator[str]:
     names = figures.day_names
-    for day in sorted(names, key=names.get):
+    for day in sorted(names, key=names.__getitem__):
         yield f'  {names[day]} ({day}), rows 1 to {len(figures.rows)}'
         by_row = [row.by_day.get(day) for row in figures.rows]
         for measure in MEASURES:
--- a/scripts/regression/tests/test_comparison.py
+++ b/scripts/regression/tests/test_comparison.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bluebellfold.core import require
 from scripts.regression.comparison import compare_runs
 from scripts.regression.day_run import Deployment
 from scripts.regression.tests.samples import make_run
@@ -16,8 +17,12 @@
     edge = compare_runs(runs)[0]
     first, second = edge.rows
     assert first.by_day['d1'].worth == pytest.approx(0.7)
-    assert second.change.figures.worth == pytest.approx(0.2)
-    assert second.change.figures.windows == pytest.approx(0.1)
+    assert require(second.change, name='change').figures.worth == pytest.approx(
+        0.2
+    )
+    assert require(
+        second.change, name='change'
+    ).figures.windows == pytest.approx(0.1)
 
 
 def test_change_counts_only_days_that_were_run_before():
@@ -32,10 +37,10 @@
         make_run('c3', 'other', 0.6),
     ]
     edge = compare_runs(runs)[0]
-    change = edge.rows[1].change
+    change = require(edge.rows[1].change, name='change')
     assert (change.commits, change.days) == (('c1',), 1)
     assert change.figures.worth == pytest.approx(-0.1)
-    assert edge.rows[2].change.commits == ('c2', 'c1')
+    assert require(edge.rows[2].change, name='change').commits == ('c2', 'c1')
 
 
 def test_figures_of_trials_are_no_base():
@@ -46,9 +51,13 @@
     ]
     edge = compare_runs(runs)[0]
     _, trial, committed = edge.rows
-    assert trial.change.figures.worth == pytest.approx(0.1)
-    assert committed.change.commits == ('c1',)
-    assert committed.change.figures.worth == pytest.approx(-0.1)
+    assert require(trial.change, name='change').figures.worth == pytest.approx(
+        0.1
+    )
+    assert require(committed.change, name='change').commits == ('c1',)
+    assert require(
+        committed.change, name='change'
+    ).figures.worth == pytest.approx(-0.1)
 
 
 def test_runs_that_were_given_up_only_count_as_failed():
@@ -61,7 +70,7 @@
     assert [row.failed_runs for row in edge.rows] == [0, 1, 0]
     assert not edge.rows[1].by_day
     assert edge.rows[1].change is None
-    assert edge.rows[2].change.commits == ('c1',)
+    assert require(edge.rows[2].change, name='change').commits == ('c1',)
 
 
 def test_days_of_one_state_of_the_code_are_left_out():
