--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -9,10 +9,12 @@
 
 import pytest
 
+from bluebellfold.operators.command import run_command
 from bluebellfold.standins.object_api import PlatformStandin
 from bluebellfold.standins.relay_peers import FlowResetError
 from bluebellfold.standins.relay_site import (
     ANNOUNCEMENT_INTERVAL_MS,
+    METRICS_PORT,
     SERVICE,
     UPSTREAM_START_MS,
     RelaySite,
@@ -392,3 +394,26 @@
             assert not any('BBF0741' in child.log for child in site.balancers)
 
     asyncio.run(scenario())
+
+
+# Guards against a state that processes do not export, or not alike.
+def test_status_shows_that_running_processes_agree(tmp_path, capsys):
+    async def scenario():
+        async with run_site(tmp_path) as site:
+            processes = [
+                f'{child.host}:{METRICS_PORT}'
+                for child in (*site.balancers, *site.agents)
+            ]
+            show = partial(run_command, ['relay', 'status', *processes])
+
+            async def agree():
+                return await asyncio.to_thread(show) == 0
+
+            await wait_until(agree)
+
+    asyncio.run(scenario())
+    shown = capsys.readouterr().out
+    assert shown.endswith('4 answered, 0 flagged, 0 silent\n')
+    assert '2 of 2 balancers: agents_listed 2\n' in shown
+    assert '2 of 2 balancers: configuration_version 1\n' in shown
+    assert '2 of 2 agents: newest_configuration_version 1\n' in shown
