Keep a flow that was answered late when a copy of its opening packet comes

An agent declines a flow whose opening packet is unanswered for 0.1 s, and learns it from the upstream's answer if that comes later. A copy of the opening packet, which the client sends after 0.2 s and 0.6 s, was then taken for the opening of another flow from the same port: the open flow was removed, its packets were denied, and balancers reset a living flow.

A learnt flow now counts as opened by a packet whose number closely precedes the client's data or, before any, that comes within the time in which clients repeat it. The new test of the late copy failed before.

--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -74,7 +74,7 @@
         self._reporter.subscriptions.count_offer(address)
         packet = message.packet
         flow = self._flows.find(packet.flow)
-        if flow is not None and not flow.is_copy_of_opening(packet):
+        if flow is not None and not flow.is_copy_of_opening(packet, now):
             # The client has reused the port of an earlier flow.
             self._flows.remove(packet.flow)
             flow = None
--- a/bluebellfold/relay/upstreams/flows.py
+++ b/bluebellfold/relay/upstreams/flows.py
@@ -16,6 +16,8 @@
 # A client sends its first request two round trips of 6 ms after its opening
 # packet; a client that has given up sends none.
 MAX_OPENING_SECONDS = 0.1
+# A client repeats its opening packet for 0.6 s, and gives up after 1.4 s.
+MAX_COPY_SECONDS = 1.5
 
 # More than the client may still have to acknowledge when the agent first sees a
 # flow that is already open: 16 packets, each retransmitted up to eight times.
@@ -201,9 +203,19 @@
         self._opening_packet = None
         self._confirmed = True
 
-    def is_copy_of_opening(self, packet: Packet) -> bool:
-        """Tell whether a packet is a copy of the flow's opening packet."""
-        return self._client_initial_sequence == packet.sequence
+    def is_copy_of_opening(self, packet: Packet, now: float) -> bool:
+        """Tell whether a packet is a copy of the flow's opening packet.
+
+        The agent hasn't seen that of a flow which it learnt from its upstream.
+        A copy then precedes the client's data, and comes while the client still
+        repeats it.
+        """
+        if self._client_initial_sequence is not None:
+            return self._client_initial_sequence == packet.sequence
+        if self._contiguous_end is None:
+            return now - self._created_at < MAX_COPY_SECONDS
+        ahead = (self._contiguous_end - packet.sequence) % _SEQUENCE_SPACE
+        return ahead <= _MAX_UNACKNOWLEDGED_BYTES
 
     def mark_open(self) -> None:
         """Record that the client has connected to this upstream."""
--- a/bluebellfold/relay/upstreams/tests/test_forwarding.py
+++ b/bluebellfold/relay/upstreams/tests/test_forwarding.py
@@ -1,5 +1,7 @@
 """Test how an agent forwards the packets of its upstream's flows."""
 
+import pytest
+
 from bluebellfold.relay.agents import (
     Declined,
     FlowFound,
@@ -131,6 +133,37 @@
     assert agent.transport.pop_messages(FlowFound)
 
 
+# Guards against living flows that are reset: an upstream answered an opening
+# packet after its agent had declined the flow, and the agent took a later copy
+# of the packet for the opening of another flow.
+@pytest.mark.parametrize('client_has_sent', [True, False])
+def test_late_copy_does_not_replace_a_flow_that_was_answered_late(
+    client_has_sent,
+):
+    agent = with_complete_flow_table(agent_with_balancer())
+    offer(agent)
+    agent.advance(0.15)
+    assert agent.transport.pop_messages(Declined)
+    agent.receive_upstream_packet(ANSWER)
+    if client_has_sent:
+        agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    offer(agent, opening_packet(attempt=1))
+    agent.receive_message(BALANCER, LOOKUP)
+    assert agent.transport.pop_messages(FlowFound)
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    assert agent.transport.delivered[-1] == DATA
+
+
+def test_opening_packet_on_a_reused_port_replaces_a_learnt_flow():
+    agent = with_complete_flow_table(agent_with_balancer())
+    agent.receive_upstream_packet(ANSWER)
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    reused = client_packet(flags=OPEN, sequence=DATA.sequence + 3_000_000)
+    offer(agent, reused)
+    agent.receive_message(BALANCER, LOOKUP)
+    assert agent.transport.pop_messages(FlowNotFound)
+
+
 def test_packet_of_an_earlier_flow_does_not_end_an_opening():
     agent = agent_with_balancer()
     offer(agent)
