Make the agents of a flow disagree by their weights, not by chance

test_two_balancers_disagree_about_a_flows_home waited until two agents held a flow of the same client, which the product doesn't promise but avoids: an agent that knows its peer's load keeps a new flow only while it is at most 0.5 flows above the mean load, and hands the others on, to the agent that has the flow already. The test passed as long as balancer-2 resumed before the first load report, which is sent a second after the new agent has joined.

The old agent has a weight of 0.01 now and the new one of 100, so that the new one owns all flows, and the old one keeps the first that balancer-2 sends it, whether or not it knows the load. The steps that follow are unchanged. A failure names the flows that each agent held.

--- a/bluebellfold/daemons/tests/features/at_most_once.feature
+++ b/bluebellfold/daemons/tests/features/at_most_once.feature
@@ -6,8 +6,8 @@
     Then every order receives its response and ran exactly once
 
   Scenario: Two balancers disagree about a flow's home
-    Given a site with 1 upstreams
-    And balancer-2 is paused while another upstream joins
+    Given a site whose upstream has a small weight
+    And balancer-2 is paused while an upstream of a large weight joins
     When clients open flows, and balancer-2 resumes with their first flights
     Then two agents hold a flow of the same client
     When each of the clients sends an order
--- a/bluebellfold/daemons/tests/test_at_most_once.py
+++ b/bluebellfold/daemons/tests/test_at_most_once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import time
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -18,6 +19,11 @@
 DUPLICATING = LinkFaults(duplicate_rate=1)
 TWO_BALANCERS = ('balancer-1', 'balancer-2')
 LONG_WORK_MS = 60_000
+# The limits of the settings.
+SMALL_WEIGHT = 0.01
+LARGE_WEIGHT = 100
+# Longer than a flow that its client doesn't complete stays open.
+OPEN_SECONDS = 6
 
 scenarios('bluebellfold/daemons/tests/features/at_most_once.feature')
 
@@ -33,16 +39,24 @@
     harness.start(counter=number, makeroom=1, repeatable_batches=True)
 
 
-@given('balancer-2 is paused while another upstream joins')
+# An agent that knows the loads of both keeps a new flow only up to its part of
+# the mean load. By these weights the new agent owns the flows, and the first
+# one has none, so that it keeps those that balancer-2 sends it, however much
+# time passes until then.
+@given('a site whose upstream has a small weight')
+def start_small_upstream(harness):
+    harness.start(makeroom=1, repeatable_batches=True)
+    harness.site.run(start_order_upstream(harness, FIRST, weight=SMALL_WEIGHT))
+    harness.run(harness.site.fleet.wait_for_members())
+
+
+@given('balancer-2 is paused while an upstream of a large weight joins')
 def join_while_paused(harness):
     fleet_harness = harness.site.fleet_harness
     fleet_harness.pause('balancer-2')
 
     async def join():
-        fleet = fleet_harness.fleet
-        await fleet.start_upstream('counter', SECOND)
-        zone = fleet.settings.site.zones[0]
-        await fleet.start_agent('counter', SECOND, zone=zone)
+        await start_order_upstream(harness, SECOND, weight=LARGE_WEIGHT)
         await fleet_harness.wait_for(
             knows_second, 'balancer-1', f'agent-{FIRST}'
         )
@@ -91,13 +105,19 @@
 def check_two_agents(harness):
     agents = (f'agent-{FIRST}', f'agent-{SECOND}')
 
+    async def count_flows():
+        reports = await harness.site.fleet_harness.reports(*agents)
+        return [report.flows for report in reports]
+
     async def wait():
-        held = 0
-        while held <= CLIENT_COUNT:
-            reports = await harness.site.fleet_harness.reports(*agents)
-            held = sum(report.flows for report in reports)
+        flows = []
+        deadline = time.monotonic() + OPEN_SECONDS
+        while sum(flows) <= CLIENT_COUNT and time.monotonic() < deadline:
+            flows = await count_flows()
+        return flows
 
-    harness.run(wait())
+    flows = harness.run(wait())
+    assert sum(flows) > CLIENT_COUNT, f'{agents} hold {flows} flows'
 
 
 @when('each of the clients sends an order')
@@ -191,6 +211,13 @@
     assert counts['batch']['begun'] > 1
 
 
+async def start_order_upstream(harness, name, *, weight):
+    fleet = harness.site.fleet
+    await fleet.start_upstream('counter', name)
+    zone = fleet.settings.site.zones[0]
+    await fleet.start_agent('counter', name, zone=zone, weight=weight)
+
+
 async def cut_and_send(harness, upstream, kind):
     await harness.set_upstream_faults(upstream, cut='before-answer')
     flow = await harness.open_flow(kind)
--- a/bluebellfold/standins/fleet.py
+++ b/bluebellfold/standins/fleet.py
@@ -159,6 +159,7 @@
         *,
         zone: str,
         generation: int = 0,
+        weight: float = 1,
     ) -> Child:
         """Start the agent on the host of a running upstream.
 
@@ -179,6 +180,7 @@
             upstream=f'{host}:{UPSTREAM_PORT}',
             certificate='certificate.pem',
             private_key='key.pem',
+            weight=weight,
         )
         return await self._start_role('agent', agent, host, settings_path)
 
