Confirm no copy that lacks a report of its watch

When the task of the copies refused a report of changed objects because its inbox was full, and took the confirmation after it, the copy counted as known as of a revision whose changes it lacked. Balancers that start without the store took it for the newest one, without an agent or with an old configuration, and ignored the right copies as older.

The watch now notes that a report was refused, confirms nothing, and lists the kind again after its next response, once the copies take messages: at most one list for each response of the store. The new test failed before. The tests of relay/store pass.

--- a/bluebellfold/relay/store/tests/test_reports_of_watches.py
+++ b/bluebellfold/relay/store/tests/test_reports_of_watches.py
@@ -30,6 +30,17 @@
         raise InboxFullError(problem='full', remedy='wait')
 
 
+class BusyActor(RecordingActor):
+    """Refuse reports of objects while it is busy."""
+
+    is_busy = False
+
+    def tell(self, message):
+        if self.is_busy and isinstance(message, ReportObjects):
+            raise InboxFullError(problem='full', remedy='wait')
+        super().tell(message)
+
+
 @asynccontextmanager
 async def watched(watch_type, standin, *, copies=None):
     """Run a watch, and yield the actors that it reports to."""
@@ -59,6 +70,16 @@
     return message
 
 
+async def first_of(actor, message_type, *, before):
+    """Return the next message of a type, which comes before one of another."""
+    async with asyncio.timeout(5):
+        message = await actor.received.get()
+        while not isinstance(message, message_type):
+            assert not isinstance(message, before)
+            message = await actor.received.get()
+    return message
+
+
 def specs_of(report):
     return {change.stored.name: change.stored.spec for change in report.changes}
 
@@ -150,6 +171,35 @@
     asyncio.run(scenario())
 
 
+# Guards against a copy that counts as newer than it is: its task took no report
+# of an agent, but the confirmation after it.
+def test_copies_that_missed_a_report_are_confirmed_after_a_new_list():
+    async def scenario():
+        standin = PlatformStandin()
+        copies = BusyActor()
+        async with watched(AgentWatch, standin, copies=copies) as (actor, _):
+            await next_of(copies, ConfirmObjects)
+            copies.is_busy = True
+            standin.store.put(AGENTS_KIND, 'one', AGENT)
+            await actor.wait_for_addresses([('10.0.0.1', 8172)])
+            copies.is_busy = False
+            standin.store.put(AGENTS_KIND, 'two', {**AGENT, 'port': 9})
+            # The changes to what the copies lack may be reported first.
+            lost = await first_of(
+                copies, DisconnectObjects, before=ConfirmObjects
+            )
+            listed = await copies.received.get()
+            confirmed = await copies.received.get()
+            assert lost.was_silent
+            assert listed.is_complete
+            assert set(specs_of(listed)) == {'one', 'two'}
+            assert confirmed == ConfirmObjects(
+                kind=AGENTS_KIND, revision=listed.revision
+            )
+
+    asyncio.run(scenario())
+
+
 def test_watch_without_copies_reports_to_its_actor_only():
     async def scenario():
         standin = PlatformStandin()
--- a/bluebellfold/relay/store/watching.py
+++ b/bluebellfold/relay/store/watching.py
@@ -63,6 +63,7 @@
         self._settle_seconds = settle_seconds
         self._draw = draw
         self._copies = copies
+        self._copies_lack_report = False
         self._unreadable: set[str] = set()
         self._balancers = 0
         self._failures = 0
@@ -161,6 +162,8 @@
             self._report_objects(changes, is_complete=False)
         else:
             self.handle_unchanged(changes.revision)
+        if self._copies_lack_report:
+            self._renew_copies()
         return bool(changes.changes)
 
     async def _handle_failure(self, error: StoreError) -> None:
@@ -198,7 +201,7 @@
             )
         self._failures = 0
         self.handle_reachability(reachable=True)
-        if self._revision is not None:
+        if self._revision is not None and not self._copies_lack_report:
             self._tell_copies(
                 ConfirmObjects(kind=self._kind, revision=self._revision)
             )
@@ -209,7 +212,7 @@
             for change in changes.changes
             if change.deleted or change.stored.name not in self._unreadable
         )
-        self._tell_copies(
+        accepted = self._tell_copies(
             ReportObjects(
                 kind=self._kind,
                 changes=usable,
@@ -218,13 +221,26 @@
                 unreadable=frozenset(self._unreadable),
             )
         )
+        # Until a complete report is accepted, the copies aren't confirmed: they
+        # would count as known as of a revision that they aren't of.
+        lacked_before = self._copies_lack_report and not is_complete
+        self._copies_lack_report = lacked_before or not accepted
+
+    def _renew_copies(self) -> None:
+        """List the kind again for the copies, once they take messages."""
+        if self._report_disconnection(was_silent=True):
+            self._revision = None
 
-    def _report_disconnection(self, *, was_silent: bool) -> None:
-        self._tell_copies(
+    def _report_disconnection(self, *, was_silent: bool) -> bool:
+        return self._tell_copies(
             DisconnectObjects(kind=self._kind, was_silent=was_silent)
         )
 
-    def _tell_copies(self, message: Message) -> None:
+    def _tell_copies(self, message: Message) -> bool:
+        """Return whether the copies, if there are any, take a message."""
+        if self._copies is None:
+            return True
         # The watch has to go on if the copies don't keep up.
-        if self._copies is not None:
-            self.guard(self._copies.tell, message)
+        failed_before = self._failed_steps
+        self.guard(self._copies.tell, message)
+        return self._failed_steps == failed_before
