Read no objects of a copy that isn't newer than the one held

A balancer that started without the store decoded all objects of each copy before it compared the revision, also when a seed had nothing new, every 5 s and more often in the first rounds: 0.19 to 0.23 s of processor time for 28,000 agents, in which no flow is served.

The revision is now compared first, and only the age of a known copy is taken. The body of a copy that isn't newer is no longer rejected for an odd object, which isn't used. The new test failed before (3 agents decoded in place of 1). The tests of relay/balancers pass, with another port than 28731.

--- a/bluebellfold/relay/balancers/copies/actor.py
+++ b/bluebellfold/relay/balancers/copies/actor.py
@@ -1,6 +1,7 @@
 """Hold copies of the store's state, serve them, and ask balancers for them."""
 
 import asyncio
+from collections.abc import Mapping
 from functools import partial
 from http import HTTPStatus
 from random import Random
@@ -23,6 +24,7 @@
 from bluebellfold.platform import Change
 from bluebellfold.relay.balancers.copies.codec import (
     MAX_BODY_BYTES,
+    NO_REVISION,
     UnusableCopyError,
     decode_copies,
     encode_copies,
@@ -175,11 +177,12 @@
     @reactions.add(TakeCopies)
     def _take_copies(self, message: TakeCopies) -> None:
         missing = self._copies.missing(self._kinds)
+        held = self._copies.revisions(missing)
         try:
             # All kinds are decoded first: an odd body is rejected as a whole.
             decoded = [
-                (copy, COPY_DECODERS.find(copy.kind)(copy, message.peer))
-                for copy in decode_copies(message.body, missing)
+                (copy, _decode_update(copy, message.peer, held))
+                for copy in decode_copies(message.body, missing, held=held)
             ]
         except UnusableCopyError as error:
             self._reject(message.peer, error.problem)
@@ -189,7 +192,7 @@
             self._take_copy(copy, update, message)
 
     def _take_copy(
-        self, copy: KindCopy, update: Message, message: TakeCopies
+        self, copy: KindCopy, update: Message | None, message: TakeCopies
     ) -> None:
         now = self._clock.now()
         # The age grows by the whole time of the exchange.
@@ -292,3 +295,12 @@
     return {
         stored.name: encode_object(stored) for stored in copy.stored_objects
     }
+
+
+def _decode_update(
+    copy: KindCopy, peer: str, held: Mapping[str, int]
+) -> Message | None:
+    """Return the update of a copy, None if it isn't newer than the one held."""
+    if copy.revision <= held.get(copy.kind, NO_REVISION):
+        return None
+    return COPY_DECODERS.find(copy.kind)(copy, peer)
--- a/bluebellfold/relay/balancers/copies/codec.py
+++ b/bluebellfold/relay/balancers/copies/codec.py
@@ -3,10 +3,12 @@
 The body is a JSON object that maps each kind to its revision, its age and its
 objects as stored. A body with any odd part is rejected as a whole; a kind that
 the receiver doesn't know is no odd part, since a newer release may serve more.
+The objects of a copy that isn't newer than the one held aren't used, nor read.
 """
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from bluebellfold.core import BluebellfoldError
@@ -26,6 +28,9 @@
 # The greatest configuration that the store takes, and 28,000 agents at 180
 # bytes each; a tenth of a balancer's memory.
 MAX_BODY_BYTES = 8_000_000
+# Below all revisions.
+NO_REVISION = -1
+NONE_HELD: Mapping[str, int] = MappingProxyType({})
 
 
 class UnusableCopyError(BluebellfoldError):
@@ -69,18 +74,26 @@
     return b'{"kinds":{%s}}' % b','.join(kinds)
 
 
-def decode_copies(body: bytes, kinds: Iterable[str]) -> tuple[KindCopy, ...]:
-    """Return the copies of the given kinds, or raise UnusableCopyError."""
+def decode_copies(
+    body: bytes, kinds: Iterable[str], *, held: Mapping[str, int] = NONE_HELD
+) -> tuple[KindCopy, ...]:
+    """Return the copies of the given kinds, or raise UnusableCopyError.
+
+    ``held`` has the revisions of the copies held, by kind. A copy that isn't
+    newer is returned without its objects.
+    """
     fields = read_json(body)
     copies = fields.get('kinds') if isinstance(fields, dict) else None
     if not isinstance(copies, dict):
         raise unusable_copy('the body has no table of kinds')
     return tuple(
-        _decode_copy(kind, copies[kind]) for kind in kinds if kind in copies
+        _decode_copy(kind, copies[kind], held.get(kind, NO_REVISION))
+        for kind in kinds
+        if kind in copies
     )
 
 
-def _decode_copy(kind: str, fields: Any) -> KindCopy:
+def _decode_copy(kind: str, fields: Any, held_revision: int) -> KindCopy:
     if not isinstance(fields, dict):
         raise unusable_copy(f'the copy of {kind} is no object')
     age_ms = fields.get('age_ms')
@@ -89,9 +102,12 @@
     entries = fields.get('objects')
     if not isinstance(entries, list):
         raise unusable_copy(f'the copy of {kind} has no list of objects')
+    revision = _decode_revision(kind, fields)
+    if revision <= held_revision:
+        entries = []
     return KindCopy(
         kind=kind,
-        revision=_decode_revision(kind, fields),
+        revision=revision,
         age_seconds=age_ms / MS_PER_SECOND,
         stored_objects=tuple(_decode_object(kind, entry) for entry in entries),
     )
--- a/bluebellfold/relay/balancers/copies/held_copies.py
+++ b/bluebellfold/relay/balancers/copies/held_copies.py
@@ -147,6 +147,14 @@
         """Return the kinds that the store has not answered since the start."""
         return tuple(kind for kind in kinds if not self._is_answered(kind))
 
+    def revisions(self, kinds: Iterable[str]) -> dict[str, int]:
+        """Return the revisions of the copies of kinds that are held."""
+        return {
+            kind: self._by_kind[kind].revision
+            for kind in kinds
+            if kind in self._by_kind
+        }
+
     def covers(self, kinds: Iterable[str], now: float) -> bool:
         """Return whether a usable copy of each kind is held."""
         usable = {copy.kind for copy in self.usable(now)}
--- a/bluebellfold/relay/balancers/copies/tests/test_actor.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_actor.py
@@ -13,6 +13,7 @@
 from bluebellfold.platform import Change, StoredObject
 from bluebellfold.relay.balancers.copies import CopyActor
 from bluebellfold.relay.balancers.copies import actor as actor_module
+from bluebellfold.relay.balancers.copies import kinds
 from bluebellfold.relay.balancers.copies.messages import TakeCopies
 from bluebellfold.relay.store import (
     AGENTS_KIND,
@@ -21,6 +22,7 @@
     ReportObjects,
     UpdateAgents,
     UpdateRoutes,
+    decode_agent,
 )
 from bluebellfold.relay.store.tests.test_agents import RecordingActor
 from bluebellfold.relay.tests.harness import journal_of
@@ -261,6 +263,33 @@
     asyncio.run(scenario())
 
 
+# Guards against a start that decodes 28,000 agents, for 0.2 s, each time that a
+# seed has nothing new.
+def test_copy_that_is_held_already_is_not_decoded_again(monkeypatch):
+    decoded = []
+
+    def decode(spec):
+        decoded.append(spec)
+        return decode_agent(spec)
+
+    monkeypatch.setattr(kinds, 'decode_agent', decode)
+
+    async def scenario():
+        clock = ManualClock(start=100)
+        main_actor = RecordingActor()
+        actor = copy_actor(main_actor, seeds=(), clock=clock)
+        for age_ms, revision in ((5000, 90), (0, 90), (0, 80)):
+            body = body_of(revision=revision, age_ms=age_ms)
+            actor.handle_message(
+                TakeCopies(peer=SEEDS[0], body=body, asked_at=clock.now())
+            )
+        assert main_actor.told == len(KINDS)
+        assert actor.gauges()[f'copy-age-seconds-{AGENTS_KIND}'] == 0
+
+    asyncio.run(scenario())
+    assert len(decoded) == 1
+
+
 def test_newer_copy_of_the_next_seed_replaces_the_first():
     async def scenario():
         older = FixedSeed(response_of(body_of(version=8, revision=40)))
