Show that a rejecting upstream without an announcement is reported once

Suspected: an upstream that never announced itself and rejects flows is reported often. A test rejects five flows that were under way at once, lets the upstream reset others in between and offers 100 more: the state is logged once (BBF0720), and no further flow reaches the upstream. The test passes on the code as it is; nothing is changed.

--- a/bluebellfold/relay/upstreams/tests/test_admission.py
+++ b/bluebellfold/relay/upstreams/tests/test_admission.py
@@ -230,6 +230,33 @@
     assert last_load(agent).state == READY
 
 
+# Guards against a line for each flow that an upstream without an announcement
+# rejects, or each time that it sends something in between.
+def test_unannounced_upstream_that_rejects_flows_is_reported_once(caplog):
+    caplog.set_level('INFO')
+    agent = agent_with_balancer(announced=False)
+    packets = [
+        opening_packet(client=('100.64.0.8', 1000 + port)) for port in range(5)
+    ]
+    for packet in packets:
+        offer(agent, packet)
+    for packet in packets:
+        agent.receive_upstream_packet(
+            returned_packet(packet, tag=balancer_tag(BALANCER))
+        )
+        agent.receive_upstream_packet(upstream_packet(flags=RESET))
+    for _ in range(100):
+        agent.advance(0.05)
+        offer(agent, opening_packet(client=('100.64.0.9', 9)))
+    assert len(agent.transport.delivered) == 5
+    states = [
+        record.state
+        for record in caplog.records
+        if getattr(record, 'event', '') == 'BBF0720'
+    ]
+    assert states == ['down']
+
+
 def test_announced_upstream_that_rejects_a_flow_stays_ready():
     agent = agent_with_balancer()
     packet = opening_packet()
