Let a stopping agent find out whether it has an upstream

An agent that was stopped within three announcement intervals of its start, and had not heard its upstream, stayed listed in the store even if it had none. Each lookup of a lost flow then waited 3 s for it. To remove the entry sooner would reset living flows: three missed announcements are the evidence that there is no upstream.

Such an agent now waits until it has heard its upstream or the three intervals have passed, if that is within the 2 s that a stop takes at most; it declines new flows and forwards the others meanwhile. If it is stopped so early that this would take longer, or is killed, it stays listed as before.

--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -50,8 +50,8 @@
 # A stopping agent waits at least this long, since balancers need a round trip
 # to send new flows elsewhere.
 STOP_MIN_SECONDS = 0.05
-# It waits at most this long for requests in progress, which is well within the
-# time that the platform allows.
+# It waits at most this long for requests in progress, and after its start for a
+# sign of its upstream, which is well within the time that the platform allows.
 STOP_MAX_SECONDS = 2.0
 NOT_SENT_COUNTER = 'balancers-datagram-not-sent'
 
@@ -219,8 +219,11 @@
 
     def _stop_if_idle(self) -> None:
         now = self._clock.now()
-        waited = now - self._stopping_since
-        if not self._relay.in_flight(now) or waited >= STOP_MAX_SECONDS:
+        left = self._stopping_since + STOP_MAX_SECONDS - now
+        # An agent that ends before it knows that it has no upstream stays
+        # listed, and lookups of lost flows wait for it.
+        waits = self._relay.in_flight(now) or self._relay.awaits_upstream(left)
+        if left <= 0 or not waits:
             self.tell(Stop())
             return
         loop = asyncio.get_running_loop()
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -156,6 +156,15 @@
             return True
         return self._silence.is_long and not self._health.is_announced
 
+    def awaits_upstream(self, seconds: float) -> bool:
+        """Tell whether a time from now on shows if there is an upstream.
+
+        False if that is known already.
+        """
+        if self._health.is_heard:
+            return False
+        return 0 < self._silence.seconds_left <= seconds
+
     def report_due(self) -> float:
         """Return when the next report is due."""
         return self._reporter.report_due
--- a/bluebellfold/relay/upstreams/silence.py
+++ b/bluebellfold/relay/upstreams/silence.py
@@ -34,6 +34,11 @@
         """Tell whether a running upstream would have announced itself."""
         return self._silent_seconds >= self._limit_seconds
 
+    @property
+    def seconds_left(self) -> float:
+        """Return how much longer the silence has to last to be long."""
+        return max(0, self._limit_seconds - self._silent_seconds)
+
     def observe(self, now: float) -> None:
         """Record that there has been no announcement yet."""
         gap = now - self._observed_at
