Copy the evacuated zones to balancers that start without the store

A balancer that started while the store refused it knew the configuration and the agents from another balancer, but learned of evacuated zones only from load reports and declines of agents, after it had offered flows there.

Where the settings have evacuate_milliseconds, the copies served on `peers` now contain the kind `evacuations`, as of the revision of the last response to the watch. For each zone the newest revision of the copy, the store's list and the agents' reports holds. No flow is refused as all-zones-evacuated on the word of a copy, as the evacuation may have ended. The readiness page shows the source and the revision, and a gauge, evacuations_from_peer, whether it is a copy.

test_answer_of_the_store_replaces_the_copy waits for the replacement of three copies in place of two. The new tests use the new fields and can't run before.

--- a/bluebellfold/daemons/relay_balancer.py
+++ b/bluebellfold/daemons/relay_balancer.py
@@ -14,7 +14,7 @@
     report_settings_error,
     run_relay,
 )
-from bluebellfold.platform import CONFIGURATION_KIND
+from bluebellfold.platform import CONFIGURATION_KIND, EVACUATIONS_KIND
 from bluebellfold.relay.balancers.copies import CopyActor
 from bluebellfold.relay.callers import (
     CheckReadiness,
@@ -77,9 +77,11 @@
             copies=self._copies,
         )
         evacuations = None
-        if process.bounds.evacuate_milliseconds is not None:
+        if self._reads_evacuations:
             evacuations = EvacuationWatch(
-                endpoint=process.store, actor=self._main_actor
+                endpoint=process.store,
+                actor=self._main_actor,
+                copies=self._copies,
             )
         self._main_actor.attach_watches(
             configuration=configuration, agents=agents, evacuations=evacuations
@@ -108,14 +110,23 @@
         )
         await runner.run()
 
+    @property
+    def _reads_evacuations(self) -> bool:
+        bounds = self._settings.process.bounds
+        return bounds.evacuate_milliseconds is not None
+
     def _create_copies(self) -> CopyActor | None:
         """Return the actor of copies, None if the settings give no endpoint."""
         if self._settings.peers is None:
             return None
+        kinds = [CONFIGURATION_KIND, AGENTS_KIND]
+        if self._reads_evacuations:
+            # After the agents, so that the log line counts those of the zone.
+            kinds.append(EVACUATIONS_KIND)
         return CopyActor(
             endpoint=self._settings.peers,
             seeds=self._settings.seeds,
-            kinds=(CONFIGURATION_KIND, AGENTS_KIND),
+            kinds=tuple(kinds),
             main_actor=self._main_actor,
             clock=self._clock,
             journal=self._journal,
--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -354,6 +354,24 @@
             metrics_page = await site.metrics(child.host)
             assert 'configuration_from_peer 1\n' in metrics_page
             assert 'agents_from_peer 1\n' in metrics_page
+            assert 'evacuations_from_peer 1\n' in metrics_page
+
+    asyncio.run(scenario())
+
+
+# Guards against new flows in an evacuated zone from a balancer that the store
+# refuses. No agent can tell it: none is in the zone.
+def test_balancer_that_the_store_refuses_learns_of_evacuated_zones(tmp_path):
+    async def scenario():
+        async with run_site_with_refused_balancer(tmp_path) as (site, child):
+
+            async def knows_zone():  # noqa: WPS430
+                metrics_page = await site.metrics(child.host)
+                return 'evacuated_zones 1\n' in metrics_page
+
+            await wait_until(partial(site.is_ready, child.host))
+            site.store.put('evacuations', 'z', {})
+            await wait_until(knows_zone)
 
     asyncio.run(scenario())
 
@@ -367,12 +385,13 @@
             site.store.put('config', 'main', make_configuration(5, SERVICE[1]))
             site.refusing.inject(refuse=False)
             async with asyncio.timeout(TIMEOUT_SECONDS):
-                await child.wait_for_log('BBF0755', times=2)
+                await child.wait_for_log('BBF0755', times=3)
             assert await flow.send_request(b'x')
             metrics_page = await site.metrics(child.host)
             assert 'configuration_version 5\n' in metrics_page
             assert 'configuration_from_peer 0\n' in metrics_page
             assert 'agents_from_peer 0\n' in metrics_page
+            assert 'evacuations_from_peer 0\n' in metrics_page
             added = [
                 line for line in child.log.splitlines() if 'BBF0708' in line
             ]
--- a/bluebellfold/relay/balancers/copies/kinds.py
+++ b/bluebellfold/relay/balancers/copies/kinds.py
@@ -1,7 +1,7 @@
 """Turn the copy of each kind into the message that its watch would send.
 
-A kind that is to be copied besides, such as that of evacuated zones, adds one
-function here; its watch needs only the ``copies`` of `KindWatch`.
+A kind that is to be copied besides adds one function here; its watch needs only
+the ``copies`` of `KindWatch`.
 """
 
 from collections.abc import Callable
@@ -10,7 +10,10 @@
 from bluebellfold.platform import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    EVACUATIONS_KIND,
+    UNUSABLE_ZONE,
     StoredObject,
+    decode_evacuated_zone,
     decode_routing,
 )
 from bluebellfold.relay.agents import AgentEntry
@@ -18,6 +21,7 @@
 from bluebellfold.relay.balancers.copies.copy_record import KindCopy
 from bluebellfold.relay.store import (
     AGENTS_KIND,
+    UpdateEvacuations,
     UpdateRoutes,
     decode_agent,
     list_agents,
@@ -55,6 +59,19 @@
     return list_agents(entries, revision=newest, peer=peer)
 
 
+@COPY_DECODERS.add(EVACUATIONS_KIND)
+def decode_evacuations(copy: KindCopy, peer: str) -> Message:
+    """Return the update of the evacuated zones.
+
+    An object that names no zone concerns no agent and is left out, as in the
+    watch.
+    """
+    zones = frozenset(map(decode_evacuated_zone, copy.stored_objects))
+    return UpdateEvacuations(
+        zones=zones - {UNUSABLE_ZONE}, revision=copy.revision, peer=peer
+    )
+
+
 def _decode_agent(stored: StoredObject) -> AgentEntry:
     entry = decode_agent(stored.spec)
     if entry is None:
--- a/bluebellfold/relay/balancers/copies/tests/test_actor.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_actor.py
@@ -10,7 +10,7 @@
 from bluebellfold.core.http_client import ClientRequest, HttpClient
 from bluebellfold.core.platform_errors import PlatformUnavailableError
 from bluebellfold.core.site import Endpoint
-from bluebellfold.platform import Change, StoredObject
+from bluebellfold.platform import EVACUATIONS_KIND, Change, StoredObject
 from bluebellfold.relay.balancers.copies import CopyActor
 from bluebellfold.relay.balancers.copies import actor as actor_module
 from bluebellfold.relay.balancers.copies import kinds
@@ -21,16 +21,18 @@
     DisconnectObjects,
     ReportObjects,
     UpdateAgents,
+    UpdateEvacuations,
     UpdateRoutes,
     decode_agent,
 )
 from bluebellfold.relay.store.tests.test_agents import RecordingActor
-from bluebellfold.relay.tests.harness import journal_of
+from bluebellfold.relay.tests.harness import journal_of, single
 from bluebellfold.standins.packets import SERVICE
 from bluebellfold.standins.relay_site import make_configuration
 
 CONFIG = 'config'
 KINDS = (CONFIG, AGENTS_KIND)
+ALL_KINDS = (*KINDS, EVACUATIONS_KIND)
 PORT = 28_731
 OWN = '127.9.0.1'
 SEEDS = ('127.9.0.2', '127.9.0.3')
@@ -62,7 +64,7 @@
     return {'name': name, 'revision': revision, 'spec': spec}
 
 
-def body_of(*, version=1, revision=5, age_ms=0, agents=(AGENT,)):
+def body_of(*, version=1, revision=5, age_ms=0, agents=(AGENT,), zones=None):
     listed = [
         object_of(spec, name=str(index), revision=index + 1)
         for index, spec in enumerate(agents)
@@ -73,6 +75,9 @@
         CONFIG: {**shared, 'objects': [object_of(configuration)]},
         AGENTS_KIND: {**shared, 'objects': listed},
     }
+    if zones is not None:
+        objects = [object_of({}, name=zone) for zone in zones]
+        kinds[EVACUATIONS_KIND] = {**shared, 'objects': objects}
     return json.dumps({'kinds': kinds}).encode()
 
 
@@ -97,12 +102,12 @@
     )
 
 
-def copy_actor(main_actor, *, host=OWN, seeds=SEEDS, clock=None):
+def copy_actor(main_actor, *, host=OWN, seeds=SEEDS, clock=None, kinds=KINDS):
     clock = clock or MonotonicClock()
     return CopyActor(
         endpoint=Endpoint(host=host, port=PORT),
         seeds=seeds,
-        kinds=KINDS,
+        kinds=kinds,
         main_actor=main_actor,
         clock=clock,
         journal=journal_of(clock),
@@ -166,6 +171,23 @@
     return json.loads(response.body)['kinds']
 
 
+async def take_all(*bodies, clock=None, reports=()):
+    """Return the updates of evacuations from bodies of copies, in order."""
+    clock = clock or ManualClock(start=100)
+    main_actor = RecordingActor()
+    actor = copy_actor(main_actor, seeds=(), clock=clock, kinds=ALL_KINDS)
+    for report in reports:
+        actor.handle_message(report)
+    for body in bodies:
+        actor.handle_message(
+            TakeCopies(peer=SEEDS[0], body=body, asked_at=clock.now())
+        )
+    updates = []
+    while not main_actor.received.empty():
+        updates.append(main_actor.received.get_nowait())
+    return [each for each in updates if isinstance(each, UpdateEvacuations)]
+
+
 def assert_no_update(main_actor):
     assert main_actor.received.empty()
 
@@ -182,6 +204,64 @@
     asyncio.run(scenario())
 
 
+# Guards against new flows in an evacuated zone from a balancer that starts
+# without the store, until an agent tells it.
+def test_evacuated_zones_are_taken_with_their_revision():
+    # No zone can have the last name.
+    body = body_of(revision=40, zones=('a', 'c', ' b'))
+    update = single(asyncio.run(take_all(body)))
+    assert update == UpdateEvacuations(
+        zones=frozenset('ac'), revision=40, peer=SEEDS[0]
+    )
+
+
+def test_end_of_all_evacuations_is_taken():
+    bodies = [body_of(revision=40, zones='a'), body_of(revision=41, zones='')]
+    updates = asyncio.run(take_all(*bodies))
+    assert [update.zones for update in updates] == [{'a'}, set()]
+
+
+# Guards against an evacuation that ends, or begins again, by a copy that is
+# behind another one, or that no store has confirmed for long.
+@pytest.mark.parametrize(
+    'later',
+    [
+        {'revision': 39, 'zones': 'b'},
+        {'revision': 40, 'zones': 'b'},
+        {'revision': 41, 'zones': 'b', 'age_ms': 30_001},
+        {'revision': 41},
+    ],
+    ids=['older', 'known', 'expired', 'without the kind'],
+)
+def test_evacuated_zones_of_another_copy_are_not_taken(later):
+    bodies = [body_of(revision=40, zones='a'), body_of(**later)]
+    updates = asyncio.run(take_all(*bodies))
+    assert [update.zones for update in updates] == [{'a'}]
+
+
+def test_no_evacuated_zones_are_taken_once_the_store_has_answered():
+    answer = report_of(EVACUATIONS_KIND, revision=30)
+    body = body_of(revision=40, zones='a')
+    assert not asyncio.run(take_all(body, reports=[answer]))
+
+
+def test_evacuated_zones_are_served_as_of_their_last_confirmation():
+    async def scenario():
+        async with running(own_seeds=()) as (actor, _):
+            actor.tell(report_of(EVACUATIONS_KIND, {}, revision=12))
+            actor.tell(ConfirmObjects(kind=EVACUATIONS_KIND, revision=15))
+            await handled(actor)
+            return await read_copies()
+
+    assert asyncio.run(scenario()) == {
+        EVACUATIONS_KIND: {
+            'revision': 15,
+            'age_ms': 0,
+            'objects': [object_of({}, name='0')],
+        }
+    }
+
+
 # Each is a failure of the first seed; the second one's copy has to serve.
 BAD_SEEDS = {
     'down': None,
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -98,6 +98,7 @@
             'flows-waiting': self._relay.queued_flows,
             'configuration-from-peer': self._relay.sources.routes.is_peer,
             'agents-from-peer': self._relay.sources.agents.is_peer,
+            'evacuations-from-peer': self._relay.sources.evacuations.is_peer,
         }
 
     def describe_state(self) -> dict[str, Any]:
@@ -108,6 +109,8 @@
             'routes_source': sources.routes.name,
             'agents_revision': self._relay.agents_revision,
             'agents_source': sources.agents.name,
+            'evacuations_revision': self._relay.evacuations_revision,
+            'evacuations_source': sources.evacuations.name,
         }
 
     async def open(self) -> None:
@@ -179,7 +182,10 @@
     @reactions.add(UpdateEvacuations)
     def _update_evacuations(self, message: UpdateEvacuations) -> None:
         self._relay.update_evacuations(
-            message.zones, self._clock.now(), revision=message.revision
+            message.zones,
+            self._clock.now(),
+            revision=message.revision,
+            peer=message.peer,
         )
 
     @reactions.add(CheckReadiness)
--- a/bluebellfold/relay/callers/eligibility.py
+++ b/bluebellfold/relay/callers/eligibility.py
@@ -70,7 +70,8 @@
         """Return why no listed agent is eligible, None if one may be.
 
         Before the first list of agents nothing is known of them, and a copy of
-        the list from another balancer may lack some.
+        the list from another balancer may lack some. An evacuation may have
+        ended since another balancer read it.
         """
         if not self._sources.agents.is_store:
             return None
@@ -81,7 +82,7 @@
         return None
 
     def _is_evacuated(self, service: str) -> bool:
-        if not self._evacuations.zones:
+        if not self._evacuations.zones or self._sources.evacuations.is_peer:
             return False
         listed_zones = self._agent_table.zones_for(service)
         return bool(listed_zones) and listed_zones <= self._evacuations.zones
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -143,7 +143,7 @@
 
     @property
     def sources(self) -> StateSources:
-        """Return where the configuration and the list of agents come from."""
+        """Return where each part of the state comes from."""
         return self._sources
 
     @property
@@ -254,12 +254,24 @@
             self._admission.refuse_ineligible(now)
 
     def update_evacuations(
-        self, zones: frozenset[str], now: float, *, revision: int
+        self,
+        zones: frozenset[str],
+        now: float,
+        *,
+        revision: int,
+        peer: str = '',
     ) -> None:
-        """Replace the evacuated zones by those of a revision of the store."""
+        """Replace the evacuated zones by those of a revision of the store.
+
+        Those of a balancer (``peer``) count only before the store answers.
+        """
+        source = self._sources.evacuations
+        if not source.accepts(peer):
+            return
+        source.record(peer)
         changed = self._evacuations.update_listed(zones, revision=revision)
         for zone in sorted(changed):
-            self._log_evacuation(zone, source='store')
+            self._log_evacuation(zone, source=source.name)
         if changed:
             self._apply_evacuations(now)
 
--- a/bluebellfold/relay/callers/state_sources.py
+++ b/bluebellfold/relay/callers/state_sources.py
@@ -48,13 +48,14 @@
 
 
 class StateSources:
-    """Hold the sources of the configuration and of the list of agents."""
+    """Hold the sources of each part of the state."""
 
-    __slots__ = ('_agents', '_routes')
+    __slots__ = ('_agents', '_evacuations', '_routes')
 
     def __init__(self) -> None:
         self._routes = StateSource()
         self._agents = StateSource()
+        self._evacuations = StateSource()
 
     @property
     def routes(self) -> StateSource:
@@ -65,3 +66,8 @@
     def agents(self) -> StateSource:
         """Return the source of the list of agents."""
         return self._agents
+
+    @property
+    def evacuations(self) -> StateSource:
+        """Return the source of the evacuated zones."""
+        return self._evacuations
--- a/bluebellfold/relay/callers/tests/test_evacuations.py
+++ b/bluebellfold/relay/callers/tests/test_evacuations.py
@@ -33,6 +33,7 @@
     opening_packet,
 )
 
+PEER = '10.1.0.2'
 IN_A = ('10.0.0.1', 8172)
 IN_B = ('10.0.0.2', 8172)
 ZONES = {IN_A: 'a', IN_B: 'b'}
@@ -100,6 +101,64 @@
     return reasons
 
 
+def copy_evacuations(balancer, *zones, revision=10):
+    balancer.relay.update_evacuations(
+        frozenset(zones), balancer.now, revision=revision, peer=PEER
+    )
+
+
+def test_copied_evacuation_keeps_new_flows_out_and_is_told_to_agents(caplog):
+    caplog.set_level('INFO')
+    balancer = balancer_with(IN_A, IN_B)
+    copy_evacuations(balancer, 'a')
+    for port in range(1000, 1006):
+        open_flow(balancer, port=port)
+    assert set(sent_to(balancer, Offer)) == {IN_B}
+    balancer.advance(0.05)
+    told = dict(balancer.transport.pop_messages(Subscribe))
+    assert told[IN_A].versions.evacuation == state_of(revision=10)
+    logged = [r for r in caplog.records if r.event == 'BBF0746']
+    assert single(logged).source == PEER
+
+
+# Guards against a copy that undoes what the store or an agent has told, and
+# against one whose order of arrival decides.
+def test_copied_evacuations_never_revert_newer_state():
+    balancer = balancer_with(IN_A, IN_B)
+    report(balancer, IN_A, state_of(evacuated=False, revision=12))
+    copy_evacuations(balancer, 'a', 'b', revision=11)
+    assert balancer.relay.evacuated_zones == {'b'}
+    copy_evacuations(balancer, 'a', revision=9)
+    assert balancer.relay.evacuated_zones == {'b'}
+    evacuate(balancer, 'b', revision=13)
+    copy_evacuations(balancer, 'a', revision=90)
+    assert balancer.relay.evacuated_zones == {'b'}
+    assert balancer.relay.sources.evacuations.is_store
+
+
+def test_older_answer_of_the_store_does_not_end_a_copied_evacuation():
+    balancer = balancer_with(IN_A, IN_B)
+    copy_evacuations(balancer, 'a', revision=11)
+    evacuate(balancer, revision=10)
+    assert balancer.relay.evacuated_zones == {'a'}
+    evacuate(balancer, revision=12)
+    assert not balancer.relay.evacuated_zones
+
+
+# Guards against refusals for an evacuation that has ended since another
+# balancer read of it.
+def test_no_flow_is_refused_by_copied_evacuations(caplog):
+    caplog.set_level('INFO')
+    balancer = balancer_with(IN_A)
+    copy_evacuations(balancer, 'a')
+    open_flow(balancer)
+    assert balancer.relay.queued_flows == 1
+    assert not balancer.transport.resets
+    evacuate(balancer, 'a', revision=11)
+    balancer.advance(0.05)
+    assert refusals(balancer, caplog) == ['all-zones-evacuated']
+
+
 def test_agent_of_an_unknown_zone_is_told_no_state():
     # Its entry names no zone. It took the state for that of its evacuated zone,
     # accepted flows, and told balancers that the evacuation had ended.
--- a/bluebellfold/relay/store/evacuations.py
+++ b/bluebellfold/relay/store/evacuations.py
@@ -44,6 +44,7 @@
         endpoint: Endpoint,
         actor: Actor,
         wait_seconds: float = WAIT_SECONDS,
+        copies: Actor | None = None,
     ) -> None:
         super().__init__(
             kind=EVACUATIONS_KIND,
@@ -52,6 +53,7 @@
                 randomness=random.Random(), cap_seconds=RETRY_CAP_SECONDS
             ),
             wait_seconds=wait_seconds,
+            copies=copies,
         )
         self._actor = actor
         self._zones: set[str] = set()
@@ -87,6 +89,7 @@
         )
 
     def _reject(self, stored: StoredObject) -> None:
+        self.exclude_from_copies(stored)
         # The kind is listed anew after each interruption of the watch.
         if stored.name in self._rejected or len(self._rejected) >= MAX_REJECTED:
             return
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -67,16 +67,23 @@
 
 
 class UpdateEvacuations(Message):
-    """Replace the evacuated zones, as of a revision of the store."""
+    """Replace the evacuated zones, as of a revision of the store.
 
-    __slots__ = ('_revision', '_zones')
+    ``peer`` is the balancer that had them, empty for the store.
+    """
+
+    __slots__ = ('_peer', '_revision', '_zones')
 
+    peer: str = read_only('_peer')
     revision: int = read_only('_revision')
     zones: frozenset[str] = read_only('_zones')
 
-    def __init__(self, *, zones: frozenset[str], revision: int) -> None:
+    def __init__(
+        self, *, zones: frozenset[str], revision: int, peer: str = ''
+    ) -> None:
         self._zones = zones
         self._revision = revision
+        self._peer = peer
 
 
 class SetBalancers(Message):
--- a/bluebellfold/relay/store/tests/test_reports_of_watches.py
+++ b/bluebellfold/relay/store/tests/test_reports_of_watches.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from functools import partial
 
 from bluebellfold.core import InboxFullError, Stop
+from bluebellfold.platform import EVACUATIONS_KIND
 from bluebellfold.relay.store import (
     AGENTS_KIND,
     AgentWatch,
     ConfigurationWatch,
     ConfirmObjects,
     DisconnectObjects,
+    EvacuationWatch,
     ReportObjects,
     SetRoutesFresh,
     UpdateAgents,
@@ -123,6 +126,29 @@
     asyncio.run(scenario())
 
 
+def test_evacuations_are_reported_with_the_revision_of_each_response():
+    async def scenario():
+        standin = PlatformStandin()
+        standin.store.put(EVACUATIONS_KIND, 'a', {})
+        standin.store.put(EVACUATIONS_KIND, ' odd', {})
+        watch_type = partial(EvacuationWatch, wait_seconds=0.2)
+        async with watched(watch_type, standin) as (_, copies):
+            listed = await copies.received.get()
+            assert specs_of(listed) == {'a': {}}
+            assert listed.unreadable == {' odd'}
+            # Another kind changes, and the response says that nothing has.
+            standin.store.put('config', 'main', {})
+            async with asyncio.timeout(5):
+                confirmed = await copies.received.get()
+                while confirmed.revision < 3:
+                    confirmed = await copies.received.get()
+            assert confirmed == ConfirmObjects(
+                kind=EVACUATIONS_KIND, revision=3
+            )
+
+    asyncio.run(scenario())
+
+
 def test_refusal_of_the_store_ends_the_confirmation():
     async def scenario():
         standin = PlatformStandin()
