Hold a copy only once its update has been accepted

If the task that serves clients refused the update of a copy because its inbox was full, the copy still counted as held. The same copy from a seed was then known already, and the balancer had no such state until the store changed or answered.

The update is now sent before the copy is held. The new test failed before.

--- a/bluebellfold/relay/balancers/copies/actor.py
+++ b/bluebellfold/relay/balancers/copies/actor.py
@@ -208,6 +208,9 @@
         if refusal is not None:
             self._reject(message.peer, f'{copy.kind}: {refusal.reason}')
             return
+        # A copy counts as held once its update is accepted; otherwise it is
+        # taken from the next response.
+        self._main_actor.tell(update)
         self._copies.hold(
             HeldCopy(
                 kind=copy.kind,
@@ -217,7 +220,6 @@
                 peer=message.peer,
             )
         )
-        self._main_actor.tell(update)
         self._journal.count('copies-taken-from-peer')
         self._journal.log(
             'BBF0753',
--- a/bluebellfold/relay/balancers/copies/tests/test_actor.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_actor.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from bluebellfold.core import ManualClock, MonotonicClock, Stop
+from bluebellfold.core import (
+    InboxFullError,
+    ManualClock,
+    MonotonicClock,
+    Stop,
+)
 from bluebellfold.core.http_client import ClientRequest, HttpClient
 from bluebellfold.core.platform_errors import PlatformUnavailableError
 from bluebellfold.core.site import Endpoint
@@ -370,6 +375,34 @@
     assert len(decoded) == 1
 
 
+class BusyActor(RecordingActor):
+    """Refuse messages while it is busy, as an actor with a full inbox does."""
+
+    is_busy = True
+
+    def tell(self, message):
+        if self.is_busy:
+            raise InboxFullError(problem='full', remedy='wait')
+        super().tell(message)
+
+
+# Guards against a copy that counts as held although its update was lost: it was
+# never told again, and the balancer had no state until the store answered.
+def test_copy_whose_update_was_not_accepted_is_taken_again():
+    async def scenario():
+        clock = ManualClock(start=100)
+        main_actor = BusyActor()
+        actor = copy_actor(main_actor, seeds=(), clock=clock)
+        copies = TakeCopies(peer=SEEDS[0], body=body_of(), asked_at=clock.now())
+        with pytest.raises(InboxFullError):
+            actor.handle_message(copies)
+        main_actor.is_busy = False
+        actor.handle_message(copies)
+        assert main_actor.told == len(KINDS)
+
+    asyncio.run(scenario())
+
+
 def test_newer_copy_of_the_next_seed_replaces_the_first():
     async def scenario():
         older = FixedSeed(response_of(body_of(version=8, revision=40)))
