Bound the balancers whose offers an agent counts

Since an agent keeps a count for each address from which an offer ever came, for as long as it runs: entry VMs are replaced, and offers aren't authenticated. It now keeps 10,000, and forgets the one with the oldest offer, which errs on the side of doubt about unknown flows. Found by reading; the new test needs the new limit.

--- a/bluebellfold/relay/balancers/subscriptions.py
+++ b/bluebellfold/relay/balancers/subscriptions.py
@@ -4,6 +4,9 @@
 
 # A balancer renews its subscription every 0.6 s: two renewals may be lost.
 SUBSCRIPTION_SECONDS = 2.0
+# Balancers whose offers are counted. At the design size there are 4,400, and
+# others take their place in time. Limits memory to about 2 MB.
+MAX_COUNTED_BALANCERS = 10_000
 _COUNTER_MASK = 0xFFFFFFFF
 
 
@@ -55,9 +58,10 @@
 class Subscriptions:
     """Hold the subscriptions of balancers by address."""
 
-    __slots__ = ('_by_address', '_offers_received')
+    __slots__ = ('_by_address', '_max_counted', '_offers_received')
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_counted: int = MAX_COUNTED_BALANCERS) -> None:
+        self._max_counted = max_counted
         self._by_address: dict[Address, Subscription] = {}
         # By balancer since the start of the agent, also while not subscribed.
         self._offers_received: dict[Address, int] = {}
@@ -108,7 +112,13 @@
 
     def count_offer(self, address: Address) -> None:
         """Count a received offer of a balancer."""
-        self._offers_received[address] = self.offers_received(address) + 1
+        # The balancer with the latest offer comes last, and the first is
+        # forgotten: its offers then count as sent to an earlier agent, so that
+        # unknown flows are not presumed absent.
+        received = self._offers_received.pop(address, 0)
+        self._offers_received[address] = received + 1
+        if len(self._offers_received) > self._max_counted:
+            self._offers_received.pop(next(iter(self._offers_received)))
         subscription = self._by_address.get(address)
         if subscription is not None:
             subscription.count_offer()
--- a/bluebellfold/relay/balancers/tests/test_subscriptions.py
+++ b/bluebellfold/relay/balancers/tests/test_subscriptions.py
@@ -47,3 +47,16 @@
     subscriptions = subscribed(FIRST, SECOND)
     assert subscriptions.find_by_tag(balancer_tag(SECOND)) == SECOND
     assert subscriptions.find_by_tag(1) is None
+
+
+# Guards against memory that grows with each balancer that was ever there.
+def test_balancers_whose_offers_are_counted_are_bounded():
+    counted = Subscriptions(max_counted=2)
+    addresses = [(f'10.1.0.{number}', 7720) for number in range(3)]
+    for address in (*addresses[:2], addresses[0], addresses[2]):
+        counted.count_offer(address)
+    assert [counted.offers_received(address) for address in addresses] == [
+        2,
+        0,
+        1,
+    ]
