Give flows under way back once the upstream's port is found closed

When the port of an upstream refused a packet, the agent forgot its flows, and with them the opening packets that it had just accepted: their clients waited 0.2 s until they repeated them. Packets of unknown flows that were under way to the upstream were dropped too, so that lost flows were reset 0.4 s later, with the next query.

Unanswered flows are now declined, which is truthful since they aren't open, and the packets of unknown flows returned. The new test failed before.

--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -8,6 +8,7 @@
 from bluebellfold.core import format_flow
 from bluebellfold.relay.agents import (
     DECLINE_NAMES,
+    DECLINED_DOWN,
     DECLINED_EVACUATED,
     DECLINED_FULL,
     DECLINED_OTHER_SERVICE,
@@ -106,6 +107,18 @@
                 ),
             )
 
+    def decline_offered(self) -> None:
+        """Decline the unanswered flows: the upstream's port is closed.
+
+        A flow without an answer isn't open, so that its request hasn't run.
+        """
+        for key, flow in self._flows.list_offered():
+            self._flows.remove(key)
+            self._transport.send_to_balancer(
+                flow.balancer,
+                Declined(packet=flow.opening_packet, reason=DECLINED_DOWN),
+            )
+
     def _add_flow(self, key: bytes, now: float) -> UpstreamFlow:
         judgement = self._unknown_flows.judge(
             key, now, idle_seconds=self._reporter.idle_seconds
--- a/bluebellfold/relay/upstreams/flow_table.py
+++ b/bluebellfold/relay/upstreams/flow_table.py
@@ -39,12 +39,20 @@
         self._flows.clear()
         return count
 
+    def list_offered(self) -> list[tuple[bytes, UpstreamFlow]]:
+        """Return the flows with an unanswered opening packet."""
+        return [
+            (key, flow)
+            for key, flow in self._flows.items()
+            if flow.state == OFFERED
+        ]
+
     def unanswered(self, before: float) -> list[tuple[bytes, UpstreamFlow]]:
         """Return flows with an unanswered opening packet from before a time."""
         return [
             (key, flow)
-            for key, flow in self._flows.items()
-            if flow.state == OFFERED and flow.last_packet_at < before
+            for key, flow in self.list_offered()
+            if flow.last_packet_at < before
         ]
 
     def count_newly_hung(self, before: float) -> int:
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -131,6 +131,13 @@
         """Remove the owners of flows that balancers no longer repeat."""
         self._directory.expire(now)
 
+    def return_probes(self) -> None:
+        """Give packets of unknown flows back: the upstream holds none."""
+        for by_balancer in self._probes.values():
+            for balancer, probe in by_balancer.items():
+                self._return_packet(probe, balancer)
+        self._probes.clear()
+
     def forget_probes(self) -> None:
         """Forget which packets of unknown flows were sent to the upstream."""
         self._probes.clear()
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -204,9 +204,13 @@
         The upstream's port is closed, so it holds no flows.
         """
         self._health.mark_refused()
-        self._forget_flows('the upstream refused a packet')
         self._unknown_flows.record_no_flows(PORT_CLOSED)
+        # Sent first, so that balancers know the state when they select other
+        # agents for the declined flows.
         self._reporter.report_state_change(now)
+        self._admission.decline_offered()
+        self._forwarder.return_probes()
+        self._forget_flows('the upstream refused a packet')
 
     @singledispatchmethod
     def handle_message(
--- a/bluebellfold/relay/upstreams/tests/test_forwarding.py
+++ b/bluebellfold/relay/upstreams/tests/test_forwarding.py
@@ -3,6 +3,8 @@
 import pytest
 
 from bluebellfold.relay.agents import (
+    DECLINED_DOWN,
+    DOWN,
     Declined,
     FlowFound,
     FlowLookup,
@@ -27,6 +29,7 @@
     SUBSCRIBE,
     agent_with_balancer,
     agent_with_flow,
+    last_load,
     offer,
     with_complete_flow_table,
 )
@@ -366,3 +369,19 @@
     )
     assert agent.transport.pop_messages(ReturnedPacket)
     assert not agent.transport.resets
+
+
+# Guards against lost flows and new ones that wait for a repeated packet, though
+# the upstream's port was found closed: their packets were dropped.
+def test_closed_port_gives_packets_under_way_back():
+    agent = agent_with_balancer()
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    opening = opening_packet(client=('100.64.0.8', 9))
+    offer(agent, opening)
+    agent.transport.sent.clear()
+    agent.relay.handle_refusal(agent.now)
+    assert single(agent.transport.pop_messages(ReturnedPacket)).packet == DATA
+    declined = single(agent.transport.pop_messages(Declined))
+    assert declined.packet == opening
+    assert declined.reason == DECLINED_DOWN
+    assert last_load(agent).state == DOWN
