Probe no upstream for a flow that has just been reset

When an uncertain agent left the list, the next repetition of a lookup could find the flow denied by all others and reset it, and then still send its packet to that agent's upstream. A request could run after its client was told that the flow is lost. The new test failed before.

--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -211,7 +211,8 @@
                 self._conclude(
                     flow, lookup, now, complete_at=agents_complete_at
                 )
-            self._send_probes(flow, lookup, now)
+            if self._lookups.find(flow) is lookup:
+                self._send_probes(flow, lookup, now)
 
     def expire(self, now: float) -> None:
         """Remove lookups that have timed out."""
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -209,6 +209,19 @@
     assert balancer.relay.agents_outdated(balancer.now)
 
 
+# Guards against a request that runs after its client was told of a lost flow:
+# the packet still went to an uncertain agent that had just left the list.
+def test_no_upstream_is_probed_after_the_reset():
+    balancer = balancer_with(report_of(), report_of(), report_of())
+    deny_everywhere(balancer)
+    balancer.advance(0.37)
+    balancer.receive_message(THIRD, FlowUncertain(flow=DATA.flow))
+    balancer.list_agents((FIRST, SECOND))
+    balancer.advance(0.1)
+    assert balancer.transport.resets == [DATA]
+    assert not balancer.transport.pop_messages(ForwardedPacket)
+
+
 def deny_everywhere(balancer):
     balancer.receive_packet(DATA)
     for agent in (FIRST, SECOND):
