Move the completeness of the list of agents into a module of its own

The balancer's relay decided it with five fields beside its other duties. The new module names the load pattern, and its doctest shows the rule. No change of behaviour.

--- /dev/null
+++ b/bluebellfold/relay/callers/agent_list.py
@@ -0,0 +1,79 @@
+"""Decide as of when a balancer knows all listed agents.
+
+Load pattern: agents list themselves one by one while balancers already serve.
+A flow is reset once all known agents have denied it, so a balancer that lacks
+an agent would reset the living flows of that agent. Others may know it earlier:
+they name the revision of their list to agents, which pass it on.
+"""
+
+from bluebellfold.relay.callers.versions import NewestVersion
+
+NEVER = float('-inf')
+
+
+class AgentListVersion:
+    """Track which list of agents is in force, and which one others have.
+
+    ``revision`` is that of the agent that was written last, which is the same
+    at all balancers with this list. The list may be complete as of a later
+    revision of the store, since agents also leave.
+
+    >>> known = AgentListVersion()
+    >>> known.replace(revision=5, as_of=9, now=1.0)
+    >>> known.observe(9, now=2.0)
+    >>> known.complete_at(3.0)
+    3.0
+    >>> known.observe(10, now=3.0)
+    >>> known.complete_at(4.0), known.is_outdated(4.0)
+    (-inf, True)
+    """
+
+    __slots__ = ('_as_of', '_newest', '_read_at', '_read_due', '_revision')
+
+    def __init__(self) -> None:
+        self._revision = 0
+        self._as_of = 0
+        self._read_at = NEVER
+        self._read_due = NEVER
+        self._newest = NewestVersion()
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the agent that was written last."""
+        return self._revision
+
+    def replace(
+        self,
+        *,
+        revision: int,
+        as_of: int,
+        now: float,
+        next_read_seconds: float = 0,
+    ) -> None:
+        """Record a new list, read as of a revision of the store, 0 if unknown.
+
+        Changes become known after ``next_read_seconds``.
+        """
+        self._revision = revision
+        # A list of several pages may have newer agents and yet lack others: it
+        # is complete as of its first page.
+        self._as_of = as_of or revision
+        self._read_at = now
+        self._read_due = now + next_read_seconds
+
+    def observe(self, revision: int, now: float) -> None:
+        """Record the revision of the list that another balancer has."""
+        self._newest.observe(revision, now)
+
+    def is_outdated(self, now: float) -> bool:
+        """Return whether the list has lacked an agent for too long."""
+        if now < self._read_due:
+            return False
+        return self._newest.outdates(self._as_of, now)
+
+    def complete_at(self, now: float) -> float:
+        """Return as of when the list has all agents, NEVER if it lacks one."""
+        if self._newest.is_newer_than(self._as_of):
+            return NEVER
+        # Until the list is read again, agents may be listed unnoticed.
+        return self._read_at if now < self._read_due else now
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -24,6 +24,7 @@
 )
 from bluebellfold.relay.callers.admission import FlowAdmission
 from bluebellfold.relay.callers.agent_follower import AgentFollower
+from bluebellfold.relay.callers.agent_list import NEVER, AgentListVersion
 from bluebellfold.relay.callers.eligibility import Eligibility
 from bluebellfold.relay.callers.evacuations import Evacuations
 from bluebellfold.relay.callers.flow_cache import FlowCache
@@ -31,7 +32,7 @@
 from bluebellfold.relay.callers.home_regions import NO_REGIONS, HomeRegions
 from bluebellfold.relay.callers.state_sources import StateSources
 from bluebellfold.relay.callers.transport import Transport
-from bluebellfold.relay.callers.versions import ActiveRoutes, NewestVersion
+from bluebellfold.relay.callers.versions import ActiveRoutes
 from bluebellfold.relay.collectors import Journal
 
 # How often the owners of long flows are told to their home agents.
@@ -45,7 +46,6 @@
 # clients may resume them.
 IDLE_MARGIN_SECONDS = 2.0
 MS_PER_SECOND = 1000
-NEVER = float('-inf')
 
 
 class ClientRelay:
@@ -59,17 +59,13 @@
     __slots__ = (
         '_admission',
         '_agent_table',
-        '_agents_as_of',
-        '_agents_read_at',
-        '_agents_read_due',
-        '_agents_revision',
+        '_agent_list',
         '_evacuations',
         '_flows',
         '_follower',
         '_forwarder',
         '_journal',
         '_last_run_at',
-        '_newest_agents_revision',
         '_register_due',
         '_routes',
         '_sources',
@@ -93,11 +89,7 @@
         self._journal = journal
         self._routes = ActiveRoutes()
         self._agent_table = AgentTable()
-        self._agents_as_of = 0
-        self._agents_read_at = NEVER
-        self._agents_read_due = NEVER
-        self._agents_revision = 0
-        self._newest_agents_revision = NewestVersion()
+        self._agent_list = AgentListVersion()
         self._evacuations = Evacuations()
         self._sources = StateSources()
         self._flows = FlowCache()
@@ -154,7 +146,7 @@
     @property
     def agents_revision(self) -> int:
         """Return the revision of the list of agents."""
-        return self._agents_revision
+        return self._agent_list.revision
 
     @property
     def cached_flows(self) -> int:
@@ -192,9 +184,7 @@
 
     def agents_outdated(self, now: float) -> bool:
         """Return whether the agent list has been outdated for too long."""
-        if now < self._agents_read_due:
-            return False
-        return self._newest_agents_revision.outdates(self._agents_as_of, now)
+        return self._agent_list.is_outdated(now)
 
     def evacuations_outdated(self, now: float) -> bool:
         """Return whether agents know of evacuations that the list lacks."""
@@ -248,12 +238,12 @@
         if not self._sources.agents.accepts(peer):
             return
         self._sources.agents.record(peer)
-        self._agents_revision = revision
-        # A list of several pages may have newer agents and yet lack others: it
-        # is complete as of its first page.
-        self._agents_as_of = as_of or revision
-        self._agents_read_at = now
-        self._agents_read_due = now + next_read_seconds
+        self._agent_list.replace(
+            revision=revision,
+            as_of=as_of,
+            now=now,
+            next_read_seconds=next_read_seconds,
+        )
         change = self._follower.update_agents(entries, now, revision=revision)
         if change.added or change.removed:
             self._forwarder.update_homes()
@@ -335,7 +325,7 @@
         if not was_live or state_before != load.state:
             self._log_agent_state(view, was_live=was_live)
         self._routes.observe(load.versions.configuration, now)
-        self._newest_agents_revision.observe(load.versions.agents, now)
+        self._agent_list.observe(load.versions.agents, now)
         evacuation = load.versions.evacuation
         if self._evacuations.observe(load.zone, evacuation, now):
             self._log_evacuation(load.zone, source=address[0])
@@ -409,15 +399,11 @@
 
     def _agents_complete_at(self, now: float) -> float:
         """Return as of when all listed agents are known."""
-        # An agent that only other balancers know may hold a flow that no known
-        # agent holds. A list from another balancer may lack the newest agents,
-        # and before the first list no agent is known at all.
+        # A list from another balancer may lack the newest agents, and before
+        # the first list no agent is known at all.
         if not self._sources.agents.is_store:
             return NEVER
-        if self._newest_agents_revision.is_newer_than(self._agents_as_of):
-            return NEVER
-        # Until the list is read again, agents may be listed unnoticed.
-        return self._agents_read_at if now < self._agents_read_due else now
+        return self._agent_list.complete_at(now)
 
     def _apply_evacuations(self, now: float) -> None:
         # The agents that this balancer follows learn it within a tick.
