Explain the steps of a lookup and the signs of an upstream's health

Readers had to gather from three times and four methods in which order agents are queried and probed, and from five flags what an agent knows of its upstream. Both docstrings now tell. The order of the probes of a lookup is no longer computed in each tick, but when probes are due.

--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -211,7 +211,8 @@
                 self._conclude(
                     flow, lookup, now, complete_at=agents_complete_at
                 )
-            if self._lookups.find(flow) is lookup:
+            has_ended = self._lookups.find(flow) is not lookup
+            if not has_ended and lookup.are_probes_due(now):
                 self._send_probes(flow, lookup, now)
 
     def expire(self, now: float) -> None:
--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -42,7 +42,21 @@
 
 
 class PendingLookup:
-    """Hold the agents' answers about one flow, and its queued packets."""
+    """Hold the agents' answers about one flow, and its queued packets.
+
+    A lookup goes through these steps, until an agent answers that it holds the
+    flow, all have denied it, or it times out:
+
+    - The home agents are queried (``begin_at_homes``).
+    - If they don't know the owner, or are late, all agents are queried
+      (``extend_to_all``), and again with a later packet of the client
+      (``detect_repeat_due``). Those without an answer are also queried again by
+      time (``detect_retry_due``).
+    - The upstreams of uncertain agents are probed by the first queued packet,
+      in stages (``pop_probes``).
+    - What few agents presume is confirmed in the same way
+      (``begin_confirmation``).
+    """
 
     __slots__ = (
         '_homes',
@@ -171,13 +185,15 @@
         self._presumed_absent.clear()
         return True
 
+    def are_probes_due(self, now: float) -> bool:
+        """Return whether uncertain agents are to be probed now."""
+        due = max(self._queried_at + PROBE_DELAY_SECONDS, self._probe_due)
+        return now >= due and bool(self._uncertain)
+
     def pop_probes(
         self, now: float, stage_of: Callable[[Address], int]
     ) -> tuple[Address, ...]:
-        """Remove and return the uncertain agents of the first stage, if due."""
-        due = max(self._queried_at + PROBE_DELAY_SECONDS, self._probe_due)
-        if now < due or not self._uncertain:
-            return ()
+        """Remove and return the uncertain agents of the first stage."""
         stages = {agent: stage_of(agent) for agent in self._uncertain}
         first = min(stages.values())
         probed = sorted(agent for agent in stages if stages[agent] == first)
--- a/bluebellfold/relay/upstreams/health.py
+++ b/bluebellfold/relay/upstreams/health.py
@@ -19,6 +19,16 @@
     An agent that has just started assumes that its upstream is ready: the
     first packet shows whether it is, and the announcement follows within its
     interval.
+
+    Signs of life, each stronger than the one before: the upstream is *heard*
+    when any packet or announcement comes from it, also a packet that it gives
+    back. It has *served* when it has sent a packet of a flow that it holds. It
+    is *announced* when an announcement was applied.
+
+    It counts as down when it is silent for too long, or one of these signs came
+    last: it *refused* a packet, since its port is closed; it is *suspected*,
+    since an opening packet went unanswered; or it *rejects flows*, and hasn't
+    shown that it is merely full.
     """
 
     __slots__ = (
