Probe each uncertain agent once before one is probed again

An agent that has been probed is uncertain again after the next query of a lookup. Since probes go out in stages, the first stage first: while the client sent packets without a pause, each of which repeats the query, an upstream of the first stage that stood still was probed over and over, and those of later stages never. Agents that were probed in the lookup now come last. The new test failed before; a client that waits longer after each packet doesn't trigger the fault.

--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -63,6 +63,7 @@
         '_not_found',
         '_presumed_absent',
         '_probe_due',
+        '_probed',
         '_queried_at',
         '_queued_packets',
         '_retried_at',
@@ -74,6 +75,7 @@
         self._homes: tuple[Address, ...] = ()
         self._started_at = now
         self._probe_due = now
+        self._probed: set[Address] = set()
         self._queried_at = now
         self._retried_at = now
         self._not_found: set[Address] = set()
@@ -193,11 +195,19 @@
     def pop_probes(
         self, now: float, stage_of: Callable[[Address], int]
     ) -> tuple[Address, ...]:
-        """Remove and return the uncertain agents of the first stage."""
-        stages = {agent: stage_of(agent) for agent in self._uncertain}
+        """Remove and return the uncertain agents of the first stage.
+
+        Those that were probed before come last: they are uncertain again after
+        each query, and an upstream that stands still would hold up the others.
+        """
+        stages = {
+            agent: (agent in self._probed, stage_of(agent))
+            for agent in self._uncertain
+        }
         first = min(stages.values())
         probed = sorted(agent for agent in stages if stages[agent] == first)
         self._uncertain.difference_update(probed)
+        self._probed.update(probed)
         self._probe_due = now + PROBE_STAGE_SECONDS
         return tuple(probed)
 
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -316,6 +316,24 @@
     assert [stage for stage in stages if stage] == [[0, 3], [1], [2]]
 
 
+# Guards against a flow that isn't found: its client sends packets without a
+# pause, and an upstream that stands still was probed again after each query.
+def test_upstream_that_stands_still_holds_up_no_other_probe():
+    entries = [
+        AgentEntry(address=FIRST, service=COUNTER, zone=ZONE),
+        AgentEntry(address=SECOND, service='press', zone=ZONE),
+    ]
+    balancer = Balancer(agents=entries)
+    balancer.receive_packet(DATA)
+    for _ in range(4):
+        for entry in entries:
+            answer = FlowUncertain(flow=DATA.flow)
+            balancer.receive_message(entry.address, answer)
+        balancer.advance(0.05)
+    probed = balancer.transport.pop_messages(ForwardedPacket)
+    assert [address for address, _ in probed[:2]] == [FIRST, SECOND]
+
+
 def test_no_further_upstream_is_probed_once_the_owner_has_answered():
     entries = fleet_of(6)
     balancer = Balancer(agents=entries)
