Forget that a flow was returned once its upstream sends a packet of it

A flow that the upstream has given back is denied until the agent offers it again. An offer that went unanswered may still be answered after such a return, of a packet of an earlier flow from the same port. When the flow table was cleared later, the open flow was denied on the old evidence, and could be reset. The new test failed before.

--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -126,7 +126,7 @@
         flow = self._flows.add(key, state=OFFERED, now=now)
         if not judgement or judgement.presumed:
             flow.mark_older()
-        self._unknown_flows.record_offered(key)
+        self._unknown_flows.forget_returned(key)
         self._reporter.count_arrival(now)
         return flow
 
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -276,6 +276,7 @@
     def _learn_flow(self, packet: Packet, now: float) -> UpstreamFlow:
         state = ANSWERED if packet.accepts else OPEN
         flow = self._flows.add(packet.flow, state=state, now=now)
+        self._unknown_flows.forget_returned(packet.flow)
         for balancer in self._probes.pop(packet.flow, {}):
             self._transport.send_to_balancer(
                 balancer, FlowFound(flow=packet.flow)
--- a/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
+++ b/bluebellfold/relay/upstreams/tests/test_unknown_flows.py
@@ -309,6 +309,23 @@
     assert not denies(agent)
 
 
+# Guards against living flows that are reset: a packet of an earlier flow from
+# the same port was returned, and then an opening packet was answered late.
+def test_flow_that_opened_after_a_return_is_no_longer_denied():
+    agent = agent_with_balancer()
+    offer(agent)
+    agent.advance(0.15)
+    agent.receive_message(BALANCER, ForwardedPacket(packet=DATA))
+    agent.receive_upstream_packet(
+        returned_packet(DATA, tag=balancer_tag(BALANCER))
+    )
+    assert denies(agent)
+    agent.receive_upstream_packet(ANSWER)
+    # The flow table is cleared, but the upstream may still hold the flow.
+    agent.announce(born=UPSTREAM_START_MS + 100, sequence=1, name='i-2')
+    assert not denies(agent)
+
+
 def test_flow_lost_in_a_power_failure_costs_its_upstream_one_packet():
     # The upstream has just started, like its agent. Clients send packets of
     # flows from before, several times, through whichever balancer.
--- a/bluebellfold/relay/upstreams/unknown_flows.py
+++ b/bluebellfold/relay/upstreams/unknown_flows.py
@@ -70,7 +70,8 @@
     they have expired.
 
     All opening packets pass the agent. A flow that the upstream has returned
-    can't open there until the agent offers it again.
+    can't open there until the agent offers it again, or the upstream answers
+    an earlier offer late.
     """
 
     __slots__ = (
@@ -145,8 +146,11 @@
         if len(self._returned) > self._max_returned:
             self._returned.pop(next(iter(self._returned)))
 
-    def record_offered(self, flow: bytes) -> None:
-        """Record that a flow is offered to the upstream."""
+    def forget_returned(self, flow: bytes) -> None:
+        """Forget that a flow was returned: the upstream may hold it now.
+
+        It is offered to the upstream, or the upstream has sent its packet.
+        """
         self._returned.pop(flow, None)
 
     def record_no_flows(self, evidence: Denial) -> None:
