--- a/bluebellfold/relay/callers/lookups.py
+++ b/bluebellfold/relay/callers/lookups.py
@@ -42,7 +42,21 @@
 
 
 class PendingLookup:
-    """Hold the agents' answers about one flow, and its queued packets."""
+    """Hold the agents' answers about one flow, and its queued packets.
+
+    A lookup goes through these steps, until an agent answers that it holds the
+    flow, all have denied it, or it times out:
+
+    - The home agents are queried (``begin_at_homes``).
+    - If they don't know the owner, or are late, all agents are queried
+      (``extend_to_all``), and again with a later packet of the client
+      (``detect_repeat_due``). Those without an answer are also queried again by
+      time (``detect_retry_due``).
+    - The upstreams of uncertain agents are probed by the first queued packet,
+      in stages (``pop_probes``).
+    - What few agents presume is confirmed in the same way
+      (``begin_confirmation``).
+    """
 
     __slots__ = (
         '_awaited_agent',
@@ -50,6 +64,7 @@
         '_not_found',
         '_presumed_absent',
         '_probe_due',
+        '_probed',
         '_queried_at',
         '_queued_packets',
         '_retried_at',
@@ -62,6 +77,7 @@
         self._homes: tuple[Address, ...] = ()
         self._started_at = now
         self._probe_due = now
+        self._probed: set[Address] = set()
         self._queried_at = now
         self._retried_at = now
         self._not_found: set[Address] = set()
@@ -205,17 +221,27 @@
         self._presumed_absent.clear()
         return True
 
+    def are_probes_due(self, now: float) -> bool:
+        """Return whether uncertain agents are to be probed now."""
+        due = max(self._queried_at + PROBE_DELAY_SECONDS, self._probe_due)
+        return now >= due and bool(self._uncertain)
+
     def pop_probes(
         self, now: float, stage_of: Callable[[Address], int]
     ) -> tuple[Address, ...]:
-        """Remove and return the uncertain agents of the first stage, if due."""
-        due = max(self._queried_at + PROBE_DELAY_SECONDS, self._probe_due)
-        if now < due or not self._uncertain:
-            return ()
-        stages = {agent: stage_of(agent) for agent in self._uncertain}
+        """Remove and return the uncertain agents of the first stage.
+
+        Those that were probed before come last: they are uncertain again after
+        each query, and an upstream that stands still would hold up the others.
+        """
+        stages = {
+            agent: (agent in self._probed, stage_of(agent))
+            for agent in self._uncertain
+        }
         first = min(stages.values())
         probed = sorted(agent for agent in stages if stages[agent] == first)
         self._uncertain.difference_update(probed)
+        self._probed.update(probed)
         self._probe_due = now + PROBE_STAGE_SECONDS
         return tuple(probed)
 
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -110,6 +110,18 @@
                 ),
             )
 
+    def decline_offered(self) -> None:
+        """Decline the unanswered flows: the upstream's port is closed.
+
+        A flow without an answer isn't open, so that its request hasn't run.
+        """
+        for key, flow in self._flows.list_offered():
+            self._flows.remove(key)
+            self._transport.send_to_balancer(
+                flow.balancer,
+                Declined(packet=flow.opening_packet, reason=DECLINED_DOWN),
+            )
+
     def _add_flow(self, key: bytes, now: float) -> UpstreamFlow:
         judgement = self._unknown_flows.judge(
             key, now, idle_seconds=self._reporter.idle_seconds
@@ -117,7 +129,7 @@
         flow = self._flows.add(key, state=OFFERED, now=now)
         if not judgement or judgement.presumed:
             flow.mark_older()
-        self._unknown_flows.record_offered(key)
+        self._unknown_flows.forget_returned(key)
         self._reporter.count_arrival(now)
         return flow
 
--- a/bluebellfold/relay/upstreams/forwarding.py
+++ b/bluebellfold/relay/upstreams/forwarding.py
@@ -131,6 +131,13 @@
         """Remove the owners of flows that balancers no longer repeat."""
         self._directory.expire(now)
 
+    def return_probes(self) -> None:
+        """Give packets of unknown flows back: the upstream holds none."""
+        for by_balancer in self._probes.values():
+            for balancer, probe in by_balancer.items():
+                self._return_packet(probe, balancer)
+        self._probes.clear()
+
     def forget_probes(self) -> None:
         """Forget which packets of unknown flows were sent to the upstream."""
         self._probes.clear()
@@ -273,6 +280,7 @@
     def _learn_flow(self, packet: Packet, now: float) -> UpstreamFlow:
         state = ANSWERED if packet.accepts else OPEN
         flow = self._flows.add(packet.flow, state=state, now=now)
+        self._unknown_flows.forget_returned(packet.flow)
         for balancer in self._probes.pop(packet.flow, {}):
             self._transport.send_to_balancer(
                 balancer, FlowFound(flow=packet.flow)
