Lose no change in a stale watch of the platform's stand-in

Cause: while reads were stale, a watch of the stand-in returned the objects as before the last write, but the revision of the store as of after it. A watch that went on from there never got the last change, so that no process could know of it. A store that is behind reports the revision that it is at.

Change: a stale watch returns the revision that it was asked for, so that the next one returns what was missed, also deletions. Stale objects are returned as before.

--- a/bluebellfold/standins/object_calls.py
+++ b/bluebellfold/standins/object_calls.py
@@ -80,14 +80,16 @@
     if standin.store.is_history_gone(after):
         return web.json_response({}, status=HTTPStatus.GONE)
     events = standin.store.events_since(kind, after)
+    revision = standin.store.revision
     if standin.fault(STALE_READS):
+        # What is behind has not reached the current revision: the next watch
+        # starts from here, so that no change is lost.
+        revision = after
         events = [
             {'Object': standin.store.read_stale(kind, name), 'Deleted': False}
             for name in standin.store.names(kind)
         ]
-    return web.json_response(
-        {'events': events, 'StoreRevision': standin.store.revision}
-    )
+    return web.json_response({'events': events, 'StoreRevision': revision})
 
 
 @calls.add('POST')
