Let stand-ins run several zones, and requests that take time

For the soak test of evacuated zones and contention:

- A site has zones, which its balancers and agents are in by turns; "a" alone unless a subclass names more.
It takes the ports of its first routes from the class.
- An upstream takes the time given for a request's route and runs as many at once as it announces slots; without a time it responds at once, as before.
- The time of the first opening packet of a flow is also recorded if it is lost: a repeated packet is no new flow.
- A client can create a flow before it opens, so that a reset of the opening can be compared with what upstreams have accepted.

--- a/bluebellfold/standins/relay_peers.py
+++ b/bluebellfold/standins/relay_peers.py
@@ -5,7 +5,8 @@
 import random
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from bluebellfold.core import (
     Endpoint,
@@ -27,6 +28,8 @@
 OPENING_TIMEOUTS_SECONDS = (0.2, 0.4, 0.8)
 RETRY_INTERVAL_SECONDS = 0.2
 RESPONSE_TIMEOUT_SECONDS = 4.0
+# Requests that an upstream runs at the same time, as it announces.
+SLOTS = 2
 MAX_FIRST_PORT = 60_000
 PORT_COUNT = 65_536
 SEQUENCE_COUNT = 1_000_000_000
@@ -51,6 +54,12 @@
         self.opened_flows: list[bytes] = []
         # When the opening packet of each flow was first received.
         self.opening_times: list[float] = []
+        # How long a request takes, by the port of its route; 0 if missing.
+        self.work_seconds: Mapping[int, float] = MappingProxyType({})
+        self._received_openings: set[bytes] = set()
+        # When each slot has finished the requests that wait for it.
+        self._slots_free_at = [float(0) for _ in range(SLOTS)]
+        self._unfinished: set[bytes] = set()
         self._outbound = (outbound.host, outbound.port)
         self._socket = DatagramSocket(endpoint=endpoint)
         self._sequences: dict[bytes, int] = {}
@@ -69,11 +78,16 @@
         """Discard all flows, as a restart does."""
         self._sequences.clear()
         self._request_texts.clear()
+        self._received_openings.clear()
 
     def has_flow(self, flow: bytes) -> bool:
         """Return whether a flow is open at this upstream."""
         return self.is_listening and flow in self._request_texts
 
+    def has_accepted(self, flow: bytes) -> bool:
+        """Return whether a flow is open or half open at this upstream."""
+        return self.is_listening and flow in self._sequences
+
     def _read(self) -> None:
         for raw, _ in self._socket.receive(time.monotonic()):
             packet = decode_packet(raw, from_client=True)
@@ -85,11 +99,12 @@
                 self._return_packet(packet)
 
     def _accept(self, packet: Packet) -> None:
+        if packet.flow not in self._received_openings:
+            self._received_openings.add(packet.flow)
+            self.opening_times.append(time.monotonic())
         if self.loses_next_opening:
             self.loses_next_opening = False
             return
-        if packet.flow not in self._sequences:
-            self.opening_times.append(time.monotonic())
         sequence = self._sequences.setdefault(
             packet.flow, random.randrange(SEQUENCE_COUNT)
         )
@@ -112,7 +127,30 @@
             if self.on_request is not None:
                 self.on_request(text, self.name)
             texts[packet.sequence] = text
-        self._send_response(packet, texts)
+            self._work(packet, texts)
+        elif packet.flow not in self._unfinished:
+            self._send_response(packet, texts)
+
+    def _work(self, packet: Packet, texts: dict[int, bytes]) -> None:
+        """Respond when a slot has run the request."""
+        port = int.from_bytes(packet.flow[:2])
+        seconds = self.work_seconds.get(port, 0)
+        if not seconds:
+            self._send_response(packet, texts)
+            return
+        now = time.monotonic()
+        slot = self._slots_free_at.index(min(self._slots_free_at))
+        finished_at = max(now, self._slots_free_at[slot]) + seconds
+        self._slots_free_at[slot] = finished_at
+        self._unfinished.add(packet.flow)
+        asyncio.get_running_loop().call_later(
+            finished_at - now, self._finish, packet, texts
+        )
+
+    def _finish(self, packet: Packet, texts: dict[int, bytes]) -> None:
+        self._unfinished.discard(packet.flow)
+        if self.is_listening:
+            self._send_response(packet, texts)
 
     def _send_response(self, packet: Packet, texts: dict[int, bytes]) -> None:
         # The responses on a flow follow each other in its sequence numbers.
@@ -174,6 +212,12 @@
 
     async def open(self, *, destination: Address = SERVICE) -> 'StandinFlow':
         """Open a flow, or raise TimeoutError or FlowResetError."""
+        flow = self.create_flow(destination=destination)
+        await flow.open()
+        return flow
+
+    def create_flow(self, *, destination: Address = SERVICE) -> 'StandinFlow':
+        """Return a new flow that is not open yet."""
         port = next(self._source_ports) % PORT_COUNT
         flow = StandinFlow(
             source=(self._host, port),
@@ -181,7 +225,6 @@
             send=self._send,
         )
         self._flows[port] = flow
-        await flow.open()
         return flow
 
     def _send(self, raw: bytes) -> None:
--- a/bluebellfold/standins/relay_site.py
+++ b/bluebellfold/standins/relay_site.py
@@ -42,7 +42,7 @@
 BALANCER_SETTINGS = """
 [process]
 name = {name}
-zone = a
+zone = {zone}
 regions = '{{"a": "north"}}'
 [balancer]
 callers = {host}:{datagram}
@@ -59,7 +59,7 @@
 AGENT_SETTINGS = """
 [process]
 name = {name}
-zone = a
+zone = {zone}
 [agent]
 datagrams = {host}:{datagram}
 outbound = {host}:{outbound}
@@ -116,6 +116,9 @@
 
     agent_settings = AGENT_SETTINGS
     warmup_rate: float = 0
+    # Ports of the routes, and the zones of the processes, in turn.
+    ports: tuple[int, ...] = (SERVICE[1],)
+    zones: tuple[str, ...] = ('a',)
 
     def __init__(self, *, folder: Path, net: int = 0) -> None:
         self._net = net
@@ -185,6 +188,7 @@
             outbound=Endpoint(host=self._agent_host(index), port=OUTBOUND_PORT),
         )
         upstream.on_request = previous.on_request
+        upstream.work_seconds = previous.work_seconds
         self.upstreams[index] = upstream
         self._stack.callback(upstream.close)
         return upstream
@@ -206,7 +210,7 @@
         body = {
             'Service': SERVICE_NAME,
             'Address': f'{host}:{UPSTREAM_PORT}',
-            'Zone': 'a',
+            'Zone': self.zone(number),
             'Version': 'v1',
             'Concurrency': 2,
             'State': state,
@@ -225,6 +229,10 @@
         )
         return response.status
 
+    def zone(self, number: int) -> str:
+        """Return the zone of an agent or a balancer."""
+        return self.zones[number % len(self.zones)]
+
     async def deregister(self, number: int) -> None:
         """Deregister an upstream."""
         request = ClientRequest(
@@ -263,7 +271,7 @@
         self.store.put(
             'config',
             'main',
-            make_configuration(1, SERVICE[1], warmup_rate=self.warmup_rate),
+            make_configuration(1, *self.ports, warmup_rate=self.warmup_rate),
         )
         for number in range(agents):
             self._add_upstream(number)
@@ -304,6 +312,7 @@
         path.write_text(
             settings.format(
                 name=name,
+                zone=self.zone(int(host.rpartition('.')[2])),
                 host=host,
                 datagram=DATAGRAM_PORT,
                 peer=PEER_PORT,
