Evacuate zones and burst a route in the soak test

The fault soak covered neither evacuated zones nor contention.

Evacuations: a fault creates the object of one of three zones and deletes it 3 s after the bound, at the latest after 20 s; alone, from the middle of a fault of the store or of a link to it, and beside restarts of agents and balancers. No upstream of the zone may get a new flow from the bound until the deletion. soak/evacuation_bound.py computes the bound: 5 s after the store acknowledged the object, without the times in which balancers' links to the store have a fault (at most 15 s); after an outage it counts from 5 s after its end. An outage that begins after the bound defers nothing.

Contention: a route sends 12 new flows per second all the time, whose requests take 0.25 s, and 48 in a burst; upstreams finish 32. Its clients send a refused request again, so that one that ran would run twice. At least half of the flows of another route must be served beside a burst, counted while an undisturbed upstream could take them.

Also checked now: a flow that is reset before it opened was accepted by no settled upstream, and a reset of the first request of a flow.

The probe of the extra route is judged during an evacuation only if an upstream elsewhere could take the flow; without an evacuation as before.

--- a/bluebellfold/soak/__init__.py
+++ b/bluebellfold/soak/__init__.py
@@ -1,6 +1,8 @@
 """Run the relay's processes under random faults and check invariants."""
 
 from bluebellfold.soak import (
+    contention,
+    evacuation_faults,
     link_faults,
     process_faults,
     store_faults,
@@ -14,7 +16,9 @@
     'FAULTS',
     'ScheduledFault',
     'SoakReport',
+    'contention',
     'draw_plan',
+    'evacuation_faults',
     'link_faults',
     'process_faults',
     'run_seed',
--- a/bluebellfold/soak/invariants.py
+++ b/bluebellfold/soak/invariants.py
@@ -1,5 +1,7 @@
 """Check invariants on what clients and upstreams observe in a run."""
 
+from collections.abc import Iterable
+
 from bluebellfold.core import Record, read_only
 
 # Invariants of a component are checked again this long after its last
@@ -10,6 +12,11 @@
 # New flows may reach a draining upstream for this long after the drain was
 # acknowledged.
 DRAIN_GRACE_SECONDS = 3.0
+# Share of the flows of the other routes that are served during a burst of one
+# route. Their demand is below their fair share; faults lose some of them.
+MIN_SERVED_SHARE = 0.5
+# With fewer flows, one upstream that crashes can take most of them.
+MIN_JUDGED_FLOWS = 4
 
 
 class Disturbance(Record):
@@ -66,6 +73,17 @@
             for disturbance in self._disturbances
         )
 
+    def disturbances(self, component: str) -> list[Disturbance]:
+        """Return the disturbances of a component by their start."""
+        return sorted(
+            (
+                disturbance
+                for disturbance in self._disturbances
+                if disturbance.component == component
+            ),
+            key=lambda disturbance: disturbance.started_at,
+        )
+
     def record_execution(self, request: bytes, upstream: str) -> None:
         """Record that a request ran; a second time is a violation."""
         executions = self._executions.setdefault(request, [])
@@ -85,6 +103,18 @@
                 f'response {response!r} to {request!r} at {upstream}'
             )
 
+    def record_refusal(self, flow: str, *, accepted_at: str, at: float) -> None:
+        """Record a reset before a flow was open; the request must not run.
+
+        ``accepted_at`` names the settled upstream that accepted the flow, if
+        one has.
+        """
+        self.failed += 1
+        if accepted_at:
+            self.violations.append(
+                f'{flow} was refused at {at:.2f} s, but {accepted_at} has it'
+            )
+
     def record_reset(
         self, flow: str, *, upstream: str, agent: str, is_open: bool, at: float
     ) -> None:
@@ -114,6 +144,39 @@
                 )
                 return
 
+    def record_evacuation(
+        self,
+        zone: str,
+        openings: Iterable[tuple[str, float]],
+        *,
+        in_force_at: float,
+        ended_at: float,
+    ) -> None:
+        """Record which upstreams of an evacuated zone got new flows, and when.
+
+        None may get one from when the evacuation is in force until its end.
+        """
+        late = [
+            f'{upstream} at {at:.2f} s'
+            for upstream, at in openings
+            if in_force_at < at < ended_at
+        ]
+        if late:
+            self.violations.append(
+                f'new flows in zone {zone}, evacuated from {in_force_at:.2f} '
+                f'to {ended_at:.2f} s: {late}'
+            )
+
+    def record_burst(self, *, served: int, opened: int, at: float) -> None:
+        """Record how many flows of another route were served in a burst."""
+        if opened < MIN_JUDGED_FLOWS:
+            return
+        if served < opened * MIN_SERVED_SHARE:
+            self.violations.append(
+                f'{served} of {opened} flows beside the burst that ended at '
+                f'{at:.2f} s were served'
+            )
+
     def record_probe(
         self, balancer: str, *, is_open: bool, expected: bool, at: float
     ) -> None:
--- a/bluebellfold/soak/link_faults.py
+++ b/bluebellfold/soak/link_faults.py
@@ -5,7 +5,7 @@
 from bluebellfold.soak.faults import FAULTS
 from bluebellfold.soak.plan import ScheduledFault
 from bluebellfold.soak.proxy import FORWARDING, RESPONSES_LOST, STALLED
-from bluebellfold.soak.site import SoakSite
+from bluebellfold.soak.site import UNSTABLE_STORE, SoakSite
 
 DELAY_SECONDS = 0.4
 
@@ -28,7 +28,7 @@
     host = _target_host(site, fault)
     proxy = site.proxies[host]
     proxy.delay_seconds = DELAY_SECONDS
-    site.record_disturbance(host, fault.seconds)
+    _record_disturbance(site, host, fault.seconds)
     await asyncio.sleep(fault.seconds)
     proxy.delay_seconds = float(0)
 
@@ -37,7 +37,7 @@
 async def reset_link(site: SoakSite, fault: ScheduledFault) -> None:
     """Reset a process's connections to the store."""
     host = _target_host(site, fault)
-    site.record_disturbance(host, 0)
+    _record_disturbance(site, host, 0)
     site.proxies[host].reset()
     await asyncio.sleep(0)
 
@@ -45,12 +45,19 @@
 async def _apply_mode(site: SoakSite, fault: ScheduledFault, mode: str) -> None:
     host = _target_host(site, fault)
     proxy = site.proxies[host]
-    site.record_disturbance(host, fault.seconds)
+    _record_disturbance(site, host, fault.seconds)
     proxy.mode = mode
     await asyncio.sleep(fault.seconds)
     proxy.mode = FORWARDING
 
 
+def _record_disturbance(site: SoakSite, host: str, seconds: float) -> None:
+    site.record_disturbance(host, seconds)
+    if host not in site.agent_hosts():
+        # Balancers read evacuated zones from the store, agents don't.
+        site.record_disturbance(UNSTABLE_STORE, seconds)
+
+
 def _target_host(site: SoakSite, fault: ScheduledFault) -> str:
     hosts = sorted(site.proxies)
     return hosts[fault.target % len(hosts)]
--- a/bluebellfold/soak/run.py
+++ b/bluebellfold/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Sequence
 from functools import partial
 from pathlib import Path
 
@@ -13,10 +14,11 @@
     run_paused_flows,
     run_single_requests,
 )
+from bluebellfold.soak.contention import run_bursting_flows
 from bluebellfold.soak.faults import FAULTS
 from bluebellfold.soak.invariants import InvariantChecker
 from bluebellfold.soak.plan import ScheduledFault, draw_plan
-from bluebellfold.soak.site import SoakSite
+from bluebellfold.soak.site import BURST_PORT, BURST_WORK_SECONDS, SoakSite
 from bluebellfold.standins.relay_peers import FlowResetError, StandinClient
 
 # All balancers must serve requests again within this time after the last fault,
@@ -61,18 +63,22 @@
     seconds: float = 12.0,
     balancers: int = 3,
     agents: int = 4,
+    kinds: Sequence[str] = (),
 ) -> SoakReport:
-    """Run clients under the faults of a seed and return the report."""
+    """Run clients under the faults of a seed and return the report.
+
+    ``kinds`` are the kinds of faults to draw from, all if there are none.
+    """
     checker = InvariantChecker()
     # Concurrent runs use separate loopback networks.
     net = 1 + seed % NETWORK_COUNT
     site = SoakSite(folder=folder, net=net, checker=checker)
-    kinds = sorted(FAULTS)
-    faults = draw_plan(seed, seconds=seconds, kinds=kinds)
+    faults = draw_plan(seed, seconds=seconds, kinds=kinds or sorted(FAULTS))
     async with site.running(balancers=balancers, agents=agents):
         site.reset_clock()
         for upstream in site.upstreams:
             upstream.on_request = checker.record_execution
+            upstream.work_seconds = {BURST_PORT: BURST_WORK_SECONDS}
         await _run_faults(site, faults)
         await _stop_proxies(site)
     return SoakReport(seed=seed, faults=faults, checker=checker)
@@ -84,6 +90,7 @@
     tasks = [asyncio.create_task(site.keep_announcing())]
     await _wait_until_served(site)
     clients = (
+        partial(run_bursting_flows, site),
         *(partial(run_long_flows, site) for _ in range(LONG_FLOW_CLIENTS)),
         *(
             partial(run_paused_flows, site, random.Random(number))
--- a/bluebellfold/soak/site.py
+++ b/bluebellfold/soak/site.py
@@ -24,8 +24,14 @@
 STOP_TIMEOUT_SECONDS = 6.0
 ANNOUNCEMENT_SECONDS = 0.3
 STORE = 'store'
+# The store refuses some processes, cuts their watches or lost its history.
+UNSTABLE_STORE = 'unstable-store'
 # Port of the route that faults add and remove.
 EXTRA_PORT = 444
+# Port of the route that faults flood with new flows, and how long its requests
+# take: 4 upstreams with 2 slots each finish 32 of them in a second.
+BURST_PORT = 445
+BURST_WORK_SECONDS = 0.25
 MS_PER_SECOND = 1000
 # A restarted upstream takes few new flows for this long.
 WARMUP_SECONDS = 2.0
@@ -46,6 +52,8 @@
 
     agent_settings = AGENT_SETTINGS + BOUNDS
     warmup_rate = WARMUP_FLOWS_PER_SECOND
+    ports = (SERVICE[1], BURST_PORT)
+    zones = ('a', 'b', 'c')
 
     def __init__(
         self, *, folder: Path, net: int, checker: InvariantChecker
@@ -55,7 +63,12 @@
         self.proxies: dict[str, StoreProxy] = {}
         self.incarnations: list[int] = []
         self.draining: set[int] = set()
+        self.evacuated: set[str] = set()
+        # By how much the usual number of new flows of a route is exceeded.
+        self.burst_factor = 1
         self._warm_at: dict[int, float] = {}
+        # Includes those that have crashed.
+        self._all_upstreams: list[StandinUpstream] = []
         self.has_extra_route = False
         self.routes_changed_at = float(0)
         self._idle_changes = [(float(0), IDLE_MS)]
@@ -72,6 +85,7 @@
         self._started_at = time.monotonic()
         self._idle_changes = [(float(0), IDLE_MS)]
         self.incarnations = [UPSTREAM_START_MS for _ in self.upstreams]
+        self._all_upstreams = list(self.upstreams)
 
     def set_extra_route(self, *, enabled: bool) -> None:
         """Add or remove the extra route in the configuration."""
@@ -103,10 +117,45 @@
         """Return the hosts of the agents."""
         return tuple(agent.host for agent in self.agents)
 
-    def upstream_index(self, upstream: str) -> int | None:
-        """Return the index of an upstream by its name, if it is known."""
-        names = [known.name for known in self.upstreams]
-        return names.index(upstream) if upstream in names else None
+    def openings(self, zone: str) -> list[tuple[str, float]]:
+        """Return which upstreams of a zone received new flows, and when."""
+        names = {
+            upstream.name
+            for index, upstream in enumerate(self.upstreams)
+            if self.zone(index) == zone
+        }
+        return [
+            (upstream.name, at - self._started_at)
+            for upstream in self._all_upstreams
+            if upstream.name in names
+            for at in upstream.opening_times
+        ]
+
+    def find_accepting(self, flow: bytes) -> str:
+        """Return the upstream that has accepted a flow, or an empty string.
+
+        An upstream whose agent is disturbed doesn't count.
+        """
+        now = self.now()
+        for upstream, agent in zip(self.upstreams, self.agents, strict=True):
+            settled = self.checker.is_undisturbed(agent.host, at=now)
+            if settled and upstream.has_accepted(flow):
+                return upstream.name
+        return ''
+
+    def are_zones_settled(self) -> bool:
+        """Return whether no zone is evacuated, or was until recently."""
+        now = self.now()
+        return not self.evacuated and all(
+            self.checker.is_undisturbed(zone, at=now) for zone in self.zones
+        )
+
+    def can_serve(self) -> bool:
+        """Return whether a settled upstream must get new flows."""
+        return any(
+            upstream.is_listening and self._must_get_flows(index)
+            for index, upstream in enumerate(self.upstreams)
+        )
 
     def try_acquire(self, component: str) -> bool:
         """Acquire a component for a fault, unless another fault has it."""
@@ -159,12 +208,17 @@
         Its start time differs from the previous one by ``clock_step_ms``.
         """
         self.incarnations[index] += clock_step_ms
-        return self.restart_upstream(index)
+        upstream = self.restart_upstream(index)
+        self._all_upstreams.append(upstream)
+        self.record_disturbance(upstream.name, 0)
+        return upstream
 
     def start_cold_upstream(self, index: int) -> StandinUpstream:
         """Start a new incarnation of an upstream that has to warm up."""
         self._warm_at[index] = self.now() + WARMUP_SECONDS
-        return self.start_upstream(index)
+        upstream = self.start_upstream(index)
+        self.record_disturbance(upstream.name, WARMUP_SECONDS)
+        return upstream
 
     async def announce_current(self, index: int) -> int:
         """Announce a running upstream, and return the response's status."""
@@ -189,9 +243,22 @@
             )
             await asyncio.sleep(ANNOUNCEMENT_SECONDS)
 
+    def _must_get_flows(self, index: int) -> bool:
+        zone, now = self.zone(index), self.now()
+        if index in self.draining or zone in self.evacuated:
+            return False
+        return all(
+            self.checker.is_undisturbed(component, at=now)
+            for component in (
+                zone,
+                self.agents[index].host,
+                self.upstreams[index].name,
+            )
+        )
+
     def _write_configuration(self) -> None:
         self._version += 1
-        ports = (SERVICE[1], EXTRA_PORT)[: 1 + self.has_extra_route]
+        ports = (*self.ports, EXTRA_PORT)[: 2 + self.has_extra_route]
         _, idle_ms = self._idle_changes[-1]
         self.store.put(
             'config',
--- a/bluebellfold/soak/store_faults.py
+++ b/bluebellfold/soak/store_faults.py
@@ -4,7 +4,7 @@
 
 from bluebellfold.soak.faults import FAULTS
 from bluebellfold.soak.plan import ScheduledFault
-from bluebellfold.soak.site import STORE, SoakSite
+from bluebellfold.soak.site import STORE, UNSTABLE_STORE, SoakSite
 from bluebellfold.standins.relay_site import IDLE_MS
 
 SLOW_SECONDS = 0.4
@@ -32,6 +32,7 @@
 @FAULTS.add('store-forgets')
 async def forget_history(site: SoakSite, fault: ScheduledFault) -> None:
     """Make the store drop its history."""
+    site.record_disturbance(UNSTABLE_STORE, 0)
     site.store.clear_history()
     await asyncio.sleep(0)
 
--- a/bluebellfold/soak/tests/test_invariants.py
+++ b/bluebellfold/soak/tests/test_invariants.py
@@ -80,3 +80,43 @@
     assert not checker.violations
     checker.record_drain('upstream-1', opened=1)
     assert len(checker.violations) == 1
+
+
+def test_refusal_of_a_flow_that_an_upstream_accepted_is_a_violation():
+    checker = InvariantChecker()
+    checker.record_refusal('flow', accepted_at='', at=1)
+    assert not checker.violations
+    checker.record_refusal('flow', accepted_at='upstream-1', at=1)
+    assert len(checker.violations) == 1
+    assert checker.failed == 2
+
+
+@pytest.mark.parametrize(
+    ('opened_at', 'violations'),
+    [((4.9, 9.1), 0), ((4.9, 5.1, 8.9), 1)],
+)
+def test_new_flow_in_an_evacuated_zone_is_a_violation(opened_at, violations):
+    checker = InvariantChecker()
+    openings = [('upstream-1', at) for at in opened_at]
+    checker.record_evacuation('a', openings, in_force_at=5, ended_at=9)
+    assert len(checker.violations) == violations
+
+
+@pytest.mark.parametrize(
+    ('served', 'opened', 'violations'),
+    [(0, 3, 0), (0, 4, 1), (4, 8, 0), (3, 8, 1)],
+)
+def test_burst_that_starves_other_routes_is_a_violation(
+    served, opened, violations
+):
+    checker = InvariantChecker()
+    checker.record_burst(served=served, opened=opened, at=9)
+    assert len(checker.violations) == violations
+
+
+def test_disturbances_of_a_component_are_in_the_order_of_their_start():
+    checker = InvariantChecker()
+    for component, started_at in (('store', 5), ('agent', 1), ('store', 2)):
+        checker.record_disturbance(component, started_at=started_at, ended_at=9)
+    times = [each.started_at for each in checker.disturbances('store')]
+    assert times == [2, 5]
