--- a/bluebellfold/relay/balancers/copies/actor.py
+++ b/bluebellfold/relay/balancers/copies/actor.py
@@ -208,6 +208,10 @@
         if refusal is not None:
             self._reject(message.peer, f'{copy.kind}: {refusal.reason}')
             return
+        if update is None:
+            # It wasn't decoded, as it was held until another one took its
+            # place. The next response is decoded.
+            return
         # A copy counts as held once its update is accepted; otherwise it is
         # taken from the next response.
         self._main_actor.tell(update)
--- a/bluebellfold/relay/balancers/copies/kinds.py
+++ b/bluebellfold/relay/balancers/copies/kinds.py
@@ -11,7 +11,6 @@
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     EVACUATIONS_KIND,
-    UNUSABLE_ZONE,
     StoredObject,
     decode_evacuated_zone,
     decode_routing,
@@ -66,10 +65,9 @@
     An object that names no zone concerns no agent and is left out, as in the
     watch.
     """
-    zones = frozenset(map(decode_evacuated_zone, copy.stored_objects))
-    return UpdateEvacuations(
-        zones=zones - {UNUSABLE_ZONE}, revision=copy.revision, peer=peer
-    )
+    decoded = map(decode_evacuated_zone, copy.stored_objects)
+    zones = frozenset(zone for zone in decoded if isinstance(zone, str))
+    return UpdateEvacuations(zones=zones, revision=copy.revision, peer=peer)
 
 
 def _decode_agent(stored: StoredObject) -> AgentEntry:
--- a/bluebellfold/relay/upstreams/admission.py
+++ b/bluebellfold/relay/upstreams/admission.py
@@ -100,15 +100,7 @@
             self._health.mark_suspected()
             self._flows.remove(key)
             self._reporter.report_state_change(now)
-            self._transport.send_to_balancer(
-                require(flow.balancer, name='balancer of an offered flow'),
-                Declined(
-                    packet=require(
-                        flow.opening_packet, name='packet of an offered flow'
-                    ),
-                    reason=DECLINED_UNANSWERED,
-                ),
-            )
+            self._decline_flow(flow, DECLINED_UNANSWERED)
 
     def decline_offered(self) -> None:
         """Decline the unanswered flows: the upstream's port is closed.
@@ -117,10 +109,18 @@
         """
         for key, flow in self._flows.list_offered():
             self._flows.remove(key)
-            self._transport.send_to_balancer(
-                flow.balancer,
-                Declined(packet=flow.opening_packet, reason=DECLINED_DOWN),
-            )
+            self._decline_flow(flow, DECLINED_DOWN)
+
+    def _decline_flow(self, flow: UpstreamFlow, reason: int) -> None:
+        self._transport.send_to_balancer(
+            require(flow.balancer, name='balancer of an offered flow'),
+            Declined(
+                packet=require(
+                    flow.opening_packet, name='packet of an offered flow'
+                ),
+                reason=reason,
+            ),
+        )
 
     def _add_flow(self, key: bytes, now: float) -> UpstreamFlow:
         judgement = self._unknown_flows.judge(
--- a/bluebellfold/soak/evacuation_faults.py
+++ b/bluebellfold/soak/evacuation_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from bluebellfold.core import Sentinel
 from bluebellfold.platform import EVACUATIONS_KIND
 from bluebellfold.soak.evacuation_bound import bound_of_evacuation
 from bluebellfold.soak.faults import FAULTS
@@ -104,6 +105,8 @@
 
 def _end_evacuation(site: SoakSite, zone: str) -> None:
     stored = site.store.read(EVACUATIONS_KIND, zone)
+    if isinstance(stored, Sentinel):
+        return
     site.store.delete(
         EVACUATIONS_KIND, zone, revision=stored['meta']['Revision']
     )
--- a/bluebellfold/standins/tests/test_object_calls.py
+++ b/bluebellfold/standins/tests/test_object_calls.py
@@ -27,6 +27,7 @@
         listed = await client.list_objects('a')
         standin.inject(stale_reads=True)
         stored = standin.store.put('a', 'b', 2)
+        assert isinstance(stored, dict)
         stale = await watch_kind(client, listed.revision)
         assert versions(stale) == [1]
         standin.inject(stale_reads=False)
