Remove the entry of an agent when its upstream deregisters

Cause, from the logs of all processes: 25 of 77 agents that started again had no upstream left, or one that served its last flows without announcements. The upstreams of 20 of them had been down, mostly deregistered, before the power loss, but an entry was removed only when the agent stopped, some 2 to 5 s later, and the loss came first. These agents were listed, could deny no flow, and were stopped one after the other until 43.55 s; each lookup waited for the last one until it counted as dead 3 s later.

The agent now tells its registrar when the upstream deregisters, and the removal is retried until the store answers. The next announcement lists it again. No store call is added: the removal at the stop is left out.

Not mended: an upstream that serves on without announcements, which holds flows that may live.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -354,6 +354,12 @@
     meaning='the agent is registered in the list of agents',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0757',
+    level=logging.INFO,
+    meaning='the agent is removed from the list: its upstream has deregistered',
+    remedy=NO_REMEDY,
+)
 register(
     number='BBF0734',
     level=logging.WARNING,
--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -10,6 +10,7 @@
 from bluebellfold.relay.store.configuration import ConfigurationWatch
 from bluebellfold.relay.store.evacuations import EvacuationWatch
 from bluebellfold.relay.store.messages import (
+    DeregisterAgent,
     RegisterAgent,
     ConfirmObjects,
     DisconnectObjects,
@@ -28,6 +29,7 @@
     'AgentWatch',
     'ConfigurationWatch',
     'EvacuationWatch',
+    'DeregisterAgent',
     'RegisterAgent',
     'ConfirmObjects',
     'DisconnectObjects',
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -1,7 +1,7 @@
 """Maintain and watch the list of agents in the store.
 
-An agent writes one object when it first hears its upstream on a machine, and
-deletes it when its upstream has ended. State that changes often, such as the
+An agent writes one object when it hears its upstream, and deletes it when its
+upstream has deregistered. State that changes often, such as the
 load, is sent to the balancers directly and not stored.
 """
 
@@ -16,13 +16,18 @@
 from bluebellfold.core import Actor, Endpoint, Registry
 from bluebellfold.core.backoff import Backoff
 from bluebellfold.platform import (
+    MISSING_OBJECT,
     Changes,
     ObjectStoreClient,
     StoredObject,
     StoreError,
 )
 from bluebellfold.relay.agents import AgentEntry
-from bluebellfold.relay.store.messages import RegisterAgent, UpdateAgents
+from bluebellfold.relay.store.messages import (
+    DeregisterAgent,
+    RegisterAgent,
+    UpdateAgents,
+)
 from bluebellfold.relay.store.watching import KindWatch
 
 AGENTS_KIND = 'bluebellfold-agents'
@@ -136,11 +141,12 @@
 
 
 class AgentRegistrar(Actor):
-    """Register this agent in the store once it is told to, and deregister it.
+    """Register this agent in the store while it has an upstream.
 
     Balancers look flows up at each listed agent, and reset a flow once all have
     denied it. An agent that is started after its upstream has left could deny
-    none for the length of the idle time, so it isn't listed.
+    none for the length of the idle time, so it isn't listed. An entry that
+    stays until the agent stops would outlive a power loss before that.
     """
 
     reactions = Registry(name='reactions of the registrar')
@@ -150,7 +156,10 @@
         self._client = ObjectStoreClient(endpoint=endpoint)
         self._entry = entry
         self._backoff = _create_backoff()
-        self._is_registering = False
+        # Whether the entry has to be in the store; None until it is known.
+        self._is_wanted: bool | None = None
+        self._is_removed = False
+        self._wish_changed = asyncio.Event()
 
     async def close(self) -> None:
         """Close the connection to the store."""
@@ -159,40 +168,68 @@
 
     async def deregister(self) -> None:
         """Delete the object; keep it if the store is unreachable."""
-        name = self._entry.address[0]
+        if self._is_removed:
+            return
         try:
-            await self._delete_object(name)
+            await self._delete_object()
         except StoreError as error:
-            log_event(_log, 'BBF0734', object_name=name, problem=error.problem)
+            log_event(
+                _log,
+                'BBF0734',
+                object_name=self._entry.address[0],
+                problem=error.problem,
+            )
 
     @reactions.add(RegisterAgent)
     def _start_registration(self, _: RegisterAgent) -> None:
-        # The registration is retried until it succeeds.
-        if self._is_registering:
+        self._want_entry(wanted=True)
+
+    @reactions.add(DeregisterAgent)
+    def _start_deregistration(self, _: DeregisterAgent) -> None:
+        self._want_entry(wanted=False)
+
+    def _want_entry(self, *, wanted: bool) -> None:
+        if self._is_wanted is wanted:
             return
-        self._is_registering = True
-        self.supervise(self._register, name='register')
+        if self._is_wanted is None:
+            self.supervise(self._update_store, name='register')
+        self._is_wanted = wanted
+        self._wish_changed.set()
 
-    async def _delete_object(self, name: str) -> None:
-        stored = await self._client.read(AGENTS_KIND, name)
-        if stored:
-            await self._client.delete(AGENTS_KIND, name, stored.revision)
+    async def _update_store(self) -> None:
+        while True:
+            await self._wish_changed.wait()
+            self._wish_changed.clear()
+            await self._retry(wanted=bool(self._is_wanted))
 
-    async def _register(self) -> None:
+    async def _retry(self, *, wanted: bool) -> None:
+        """Write or delete the object until this succeeds or is outdated."""
+        change = self._write_object if wanted else self._delete_object
         attempt = 0
-        while True:
+        while self._is_wanted is wanted:
             try:
-                written = await self._write_object()
+                done = await change()
             except StoreError as error:
-                written = False
+                done = False
                 if attempt == 0:
                     log_event(_log, 'BBF0306', problem=error.problem)
-            if written:
-                log_event(_log, 'BBF0733', attempt=attempt)
+            if done:
+                self._is_removed = not wanted
+                event = 'BBF0733' if wanted else 'BBF0757'
+                log_event(_log, event, attempt=attempt)
                 return
             await asyncio.sleep(self._backoff.delay_seconds(attempt))
             attempt += 1
 
+    async def _delete_object(self) -> bool:
+        """Return whether the object is gone."""
+        name = self._entry.address[0]
+        stored = await self._client.read(AGENTS_KIND, name)
+        if not isinstance(stored, StoredObject):
+            return True
+        refusal = await self._client.delete(AGENTS_KIND, name, stored.revision)
+        return refusal is None or refusal is MISSING_OBJECT
+
     async def _write_object(self) -> bool:
         """Return whether the object is in the store as it should be."""
         # The name is the address of this machine, so an existing object was
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -76,6 +76,12 @@
     __slots__ = ()
 
 
+class DeregisterAgent(Message):
+    """Remove the agent from the store: its upstream has deregistered."""
+
+    __slots__ = ()
+
+
 class UpdateEvacuations(Message):
     """Replace the evacuated zones, as of a revision of the store.
 
--- a/bluebellfold/relay/store/tests/test_agents.py
+++ b/bluebellfold/relay/store/tests/test_agents.py
@@ -11,6 +11,7 @@
     AGENTS_KIND,
     AgentRegistrar,
     AgentWatch,
+    DeregisterAgent,
     RegisterAgent,
     UpdateAgents,
 )
@@ -181,6 +182,25 @@
     asyncio.run(run_watched(scenario))
 
 
+# Guards against lookups of lost flows that wait for an agent whose upstream has
+# deregistered: its entry stayed until the agent stopped, and a power loss
+# before that left it in the list.
+def test_agent_is_listed_only_until_its_upstream_deregisters():
+    async def scenario(standin, actor):
+        registrar, running = start_registrar(standin, FIRST)
+        await actor.wait_for_addresses([FIRST])
+        standin.inject(refuse=True)
+        registrar.tell(DeregisterAgent())
+        await asyncio.sleep(0.1)
+        standin.inject(refuse=False)
+        await actor.wait_for_addresses([])
+        registrar.tell(RegisterAgent())
+        await actor.wait_for_addresses([FIRST])
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
+
+
 # Guards against living flows that are reset: the list counted as complete while
 # the watch waited on purpose after a change.
 def test_change_of_the_list_tells_when_the_list_is_read_next():
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -32,7 +32,7 @@
 )
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.collectors import Journal
-from bluebellfold.relay.store import RegisterAgent
+from bluebellfold.relay.store import DeregisterAgent, RegisterAgent
 from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.messages import (
@@ -88,6 +88,7 @@
         self._stopping_since = float(0)
         self._timer: asyncio.TimerHandle | None = None
         self._registrar: Actor | None = None
+        self._is_listed = False
         # ``open`` sets the sockets and what writes to them.
         self._balancer_socket: DatagramSocket
         self._outbox: Outbox
@@ -110,7 +111,7 @@
         return self._relay.upstream_left
 
     def attach_registrar(self, registrar: Actor) -> None:
-        """Set the task that registers the agent once its upstream is heard."""
+        """Set the task that registers the agent while it has an upstream."""
         self._registrar = registrar
 
     def gauges(self) -> dict[str, float]:
@@ -201,7 +202,7 @@
             message.announcement, self._clock.now()
         )
         message.reply.put(applied)
-        self._register_if_heard()
+        self._update_registration()
         self._schedule_tick()
 
     @reactions.add(ApplyDeregistration)
@@ -210,6 +211,7 @@
             message.name, self._clock.now()
         )
         message.reply.put(applied)
+        self._update_registration()
 
     @reactions.add(StopWhenIdle)
     def _begin_stop(self, message: StopWhenIdle) -> None:
@@ -263,14 +265,15 @@
                 self.guard(self._relay.handle_upstream_packet, packet, now)
             else:
                 self._journal.count(packet.name)
-        self._register_if_heard()
+        self._update_registration()
         self._schedule_tick()
 
-    def _register_if_heard(self) -> None:
-        if self._registrar is None or not self._relay.upstream_heard:
+    def _update_registration(self) -> None:
+        wanted = self._relay.upstream_present
+        if self._registrar is None or self._is_listed is wanted:
             return
-        self._registrar.tell(RegisterAgent())
-        self._registrar = None
+        self._is_listed = wanted
+        self._registrar.tell(RegisterAgent() if wanted else DeregisterAgent())
 
     def _read_upstream_errors(self) -> None:
         # The upstream sends nothing to this socket. The socket raises an error
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -136,9 +136,9 @@
         return len(self._reporter.subscriptions)
 
     @property
-    def upstream_heard(self) -> bool:
-        """Tell whether the upstream has announced itself or sent a packet."""
-        return self._health.is_heard
+    def upstream_present(self) -> bool:
+        """Tell whether the upstream is heard and hasn't deregistered."""
+        return self._health.is_heard and not self._health.deregistered
 
     @property
     def versions(self) -> Versions:
