Assign no queued flow whose retransmission is due

What clients saw: in a burst of one route a flow that an upstream had opened 0.6 s earlier was reset while its request ran.

Cause: the opening packets of a flow reach several balancers, and each queues it. A balancer could assign the flow for 0.15 s after the client's next packet was due, and longer after a stall, though another balancer had received that packet. That one knew nothing of the assignment, and reset the flow 1.3 s after its opening with "no-upstream-in-time".

Change: a flow whose next packet is due and did not come here leaves the queue without a reset when it is next in turn. If the packet comes here late, the flow is queued again; whether an agent may have accepted it stays known.

Not covered: an offer that is on its way when the client sends its next packet.

Test: test_flow_whose_retransmission_is_due_is_not_assigned, which failed before.

--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -1,7 +1,7 @@
 """Decide for each new flow: assign an agent, queue the flow or refuse it."""
 
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from types import MappingProxyType
 
 from bluebellfold.core import (
@@ -242,7 +242,7 @@
 
     def _assign_in_order(self, service_queue: ServiceQueue, now: float) -> None:
         blocked_routes: set[bytes] = set()
-        queued = service_queue.next_flow(now, blocked_routes)
+        queued = self._next_assignable(service_queue, blocked_routes, now)
         while queued is not None:
             flow = queued.packet.flow
             assignment = self._flows.find_or_add(flow, now)
@@ -257,9 +257,33 @@
             else:
                 # No agent has capacity for the later flows either.
                 break
-            queued = service_queue.next_flow(now, blocked_routes)
+            queued = self._next_assignable(service_queue, blocked_routes, now)
         service_queue.restore()
 
+    def _next_assignable(
+        self,
+        service_queue: ServiceQueue,
+        blocked_routes: Collection[bytes],
+        now: float,
+    ) -> QueuedFlow | None:
+        """Return the flow to assign next, of those that none else may have.
+
+        The balancer that got the client's next packet would not know of an
+        assignment here, and could reset the open flow. If that packet comes
+        here, only late, the flow is queued again.
+        """
+        queued = service_queue.next_flow(now, blocked_routes)
+        while queued is not None and queued.awaits_retransmission(now):
+            # Whether an agent may have accepted the flow stays known.
+            self._queue.remove(queued.packet.flow)
+            self._log_dropped(
+                queued.packet,
+                'not-retransmitted',
+                waited_ms=round((now - queued.opened_at) * MS_PER_SECOND),
+            )
+            queued = service_queue.next_flow(now, blocked_routes)
+        return queued
+
     def _is_passed_over(
         self, queued: QueuedFlow, assignment: Assignment, now: float
     ) -> bool:
@@ -469,6 +493,11 @@
         """Remove a flow without a reset."""
         self._flows.remove(packet.flow)
         self._queue.remove(packet.flow)
+        self._log_dropped(packet, reason, **inputs)
+
+    def _log_dropped(
+        self, packet: Packet, reason: str, **inputs: float
+    ) -> None:
         self._journal.count('flows-abandoned')
         self._journal.log(
             'BBF0739',
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -202,6 +202,20 @@
     assert not balancer.transport.resets
 
 
+def test_flow_whose_retransmission_is_due_is_not_assigned():
+    # Two balancers queued the flow. The first one assigned it after the next
+    # packet of the client had gone to the second one, which knew nothing of
+    # that and reset the open flow at its deadline.
+    balancer = balancer_with(report_of(in_flight=6))
+    balancer.receive_packet(opening_packet())
+    balancer.advance(0.2)
+    balancer.receive_message(FIRST, report_of(sequence=2))
+    assert not balancer.transport.pop_messages(Offer)
+    # It came to this balancer, only late.
+    balancer.receive_packet(opening_packet(attempt=1))
+    assert balancer.transport.pop_messages(Offer)
+
+
 def test_queued_flow_is_kept_while_its_client_retransmits():
     balancer = balancer_with(report_of(in_flight=8))
     balancer.receive_packet(opening_packet())
--- a/bluebellfold/soak/tests/test_soak.py
+++ b/bluebellfold/soak/tests/test_soak.py
@@ -52,6 +52,10 @@
     (528, 16.0, 4, EARLIER_KINDS),
     # The stand-in's watch lost the last change of the configuration.
     (9118, 12.0, 4, ALL_KINDS),
+    # A balancer assigned a flow whose retransmission another one had queued,
+    # and that one reset the open flow at its deadline.
+    (9153, 12.0, 4, ALL_KINDS),
+    (9158, 12.0, 4, ALL_KINDS),
 )
 
 
