--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -280,9 +280,7 @@
         """
         queued = service_queue.next_flow(now, blocked_routes)
         while queued is not None and queued.awaits_retransmission(now):
-            # Whether an agent may have accepted the flow stays known.
-            self._queue.remove(queued.packet.flow)
-            self._log_dropped(
+            self._drop(
                 queued.packet,
                 'not-retransmitted',
                 waited_ms=round((now - queued.opened_at) * MS_PER_SECOND),
@@ -504,11 +502,6 @@
         """Remove a flow without a reset."""
         self._flows.remove(packet.flow)
         self._queue.remove(packet.flow)
-        self._log_dropped(packet, reason, **inputs)
-
-    def _log_dropped(
-        self, packet: Packet, reason: str, **inputs: float
-    ) -> None:
         self._journal.count('flows-abandoned')
         self._journal.log(
             'BBF0739',
