Reset no abandoned flow after a pause

Cause: a balancer had queued the flow's second opening packet and was suspended past the flow's deadline. The third packet had gone to another balancer, which assigned the flow. On resuming, the first one looked at the deadline before it looked at the missing packet, and reset the open flow.

Change: a flow whose next packet did not come here is dropped without a reset, also after its deadline.

Test: test_abandoned_flow_is_not_reset_after_a_pause, which failed before. The tests of relay/callers and relay/tests passed. The soak has not run on this commit.

--- a/bluebellfold/relay/callers/admission.py
+++ b/bluebellfold/relay/callers/admission.py
@@ -210,14 +210,15 @@
     def tick(self, now: float) -> None:
         """Time out queued flows and pending offers, and retry the queue."""
         for overdue in self._queue.pop_overdue(now):
-            if overdue.is_expired(now):
-                self._refuse(overdue.packet, 'no-upstream-in-time')
-            else:
+            if overdue.is_abandoned(now):
+                # Another balancer may have the flow, also after the deadline.
                 self._drop(
                     overdue.packet,
                     'not-retransmitted',
                     waited_ms=round((now - overdue.opened_at) * MS_PER_SECOND),
                 )
+            else:
+                self._refuse(overdue.packet, 'no-upstream-in-time')
         self._queue_unrouted(now)
         self._contention.observe(self._queue, now)
         for service_queue in self._queue.services:
--- a/bluebellfold/relay/callers/tests/test_admission.py
+++ b/bluebellfold/relay/callers/tests/test_admission.py
@@ -216,6 +216,17 @@
     assert balancer.transport.pop_messages(Offer)
 
 
+def test_abandoned_flow_is_not_reset_after_a_pause():
+    # A balancer that was suspended past the deadline of a queued flow reset it.
+    # Its client's next packet had gone to another balancer, which assigned it.
+    balancer = balancer_with(report_of(in_flight=8))
+    balancer.receive_packet(opening_packet(attempt=1))
+    balancer.clock.advance(4)
+    balancer.relay.tick(balancer.now)
+    assert not balancer.transport.resets
+    assert not balancer.relay._admission.queued_flows
+
+
 def test_queued_flow_is_kept_while_its_client_retransmits():
     balancer = balancer_with(report_of(in_flight=8))
     balancer.receive_packet(opening_packet())
