--- a/bluebellfold/relay/agents/policies.py
+++ b/bluebellfold/relay/agents/policies.py
@@ -96,12 +96,11 @@
     """
     if _arrivals_of_others(selection.views, selection) < MIN_ARRIVALS_OF_OTHERS:
         return select_least_work(selection)
-    candidates = _split_by_zone(selection)
-    levels, capacities = _fill_other_zones(candidates, selection)
-    arrivals = _arrivals_of_others(candidates[0], selection)
+    local, others = _split_by_zone(selection)
+    levels, capacities = _fill_other_zones(local, others, selection)
+    arrivals = _arrivals_of_others(local, selection)
     parts = fill_to_common_level(levels, capacities, arrivals + 1)
-    views = (*candidates[0], *candidates[1])
-    return views[draw_index(parts, selection.draw())]
+    return (*local, *others)[draw_index(parts, selection.draw())]
 
 
 def _split_by_zone(
@@ -127,7 +126,8 @@
 
 
 def _fill_other_zones(
-    candidates: tuple[Sequence[AgentView], Sequence[AgentView]],
+    local: Sequence[AgentView],
+    others: Sequence[AgentView],
     selection: SelectionInput,
 ) -> tuple[list[float], list[float]]:
     """Return the levels and capacities of the candidates, other zones filled.
@@ -137,7 +137,7 @@
     flows were spread over all zones, half of those of a calm site would leave
     their zone.
     """
-    views = (*candidates[0], *candidates[1])
+    views = (*local, *others)
     capacities = [
         view.reported_load.slots
         / slowdown(view, selection.typical_work_seconds)
@@ -149,13 +149,12 @@
         work - 1 / capacity
         for work, capacity in zip(works, capacities, strict=True)
     ]
-    local = len(candidates[0])
     raised = raise_to_common_level(
-        levels[local:],
-        capacities[local:],
-        _arrivals_of_others(candidates[1], selection) + 1,
+        levels[len(local) :],
+        capacities[len(local) :],
+        _arrivals_of_others(others, selection) + 1,
     )
-    return levels[:local] + raised, capacities
+    return levels[: len(local)] + raised, capacities
 
 
 def _arrivals_of_others(
