Write the entry of an agent anew at each registration

Cause: an agent that found an entry with the wanted content counted it as its own and left its revision. A deletion by the previous start, whose response was lost, names that revision, so its condition still held when the store executed it 6 s later. Nothing wrote the entry again. The same happened under an agent that went on, when its upstream was restarted in place while the deletion was on its way.

The lines didn't tell a taken-over entry from a written one; BBF0733 and BBF0757 now have the registration and its revision, and BBF0758 names the revision that a deletion is sent for, before its response can be lost.

Change: the entry has the registration that wrote it, the start of the agent and a number, and each registration writes the entry. Its revision is then newer than any that an earlier deletion or replacement names, and a late creation finds an object. The entry is read before it is written: a start on an existing entry makes one write in place of a refused one, a first start makes a read more. A creation without a response may be executed after the deletion, so that the agent then deletes again at its stop.

The registrar moves to a module of its own. The stand-in of the store holds writes and executes them later.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -360,6 +360,12 @@
     meaning='the agent is removed from the list: its upstream has deregistered',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0758',
+    level=logging.INFO,
+    meaning='the agent asks the store to delete this revision of its entry',
+    remedy=NO_REMEDY,
+)
 register(
     number='BBF0734',
     level=logging.WARNING,
--- a/bluebellfold/daemons/relay_agent.py
+++ b/bluebellfold/daemons/relay_agent.py
@@ -42,11 +42,19 @@
 class AgentProcess:
     """Assemble and run the actors and servers of an agent."""
 
-    __slots__ = ('_journal', '_main_actor', '_path', '_settings')
+    __slots__ = (
+        '_incarnation',
+        '_journal',
+        '_main_actor',
+        '_path',
+        '_settings',
+    )
 
     def __init__(self, *, settings: AgentSettings, path: str) -> None:
         self._settings = settings
         self._path = path
+        # Orders reports of this process after those of previous ones.
+        self._incarnation = time.time_ns()
         clock = MonotonicClock()
         self._journal = Journal(logger=_log, clock=clock)
         self._main_actor = UpstreamActor(
@@ -54,8 +62,7 @@
             outbound_endpoint=settings.outbound,
             upstream_endpoint=settings.upstream,
             zone=settings.process.zone,
-            # Orders reports of this process after those of previous ones.
-            incarnation=time.time_ns(),
+            incarnation=self._incarnation,
             agent_start=_agent_start(clock.now()),
             health=UpstreamHealth(
                 service=settings.service,
@@ -82,6 +89,7 @@
                 service=settings.service,
                 zone=process.zone,
             ),
+            incarnation=self._incarnation,
         )
         self._main_actor.attach_registrar(registrar)
         status_server = partial(
--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -2,7 +2,6 @@
 
 from bluebellfold.relay.store.agents import (
     AGENTS_KIND,
-    AgentRegistrar,
     AgentWatch,
     decode_agent,
     list_agents,
@@ -22,6 +21,7 @@
     UpdateEvacuations,
     UpdateRoutes,
 )
+from bluebellfold.relay.store.registrar import AgentRegistrar
 
 __all__ = (
     'AGENTS_KIND',
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -1,11 +1,9 @@
-"""Maintain and watch the list of agents in the store.
+"""Watch the list of agents in the store.
 
-An agent writes one object when it hears its upstream, and deletes it when its
-upstream has deregistered. State that changes often, such as the
-load, is sent to the balancers directly and not stored.
+State that changes often, such as the load, is sent to the balancers directly
+and not stored.
 """
 
-import asyncio
 import ipaddress
 import logging
 import random
@@ -15,19 +13,9 @@
 from bluebellfold.collectors import log_event
 from bluebellfold.core import Actor, Endpoint, Registry
 from bluebellfold.core.backoff import Backoff
-from bluebellfold.platform import (
-    MISSING_OBJECT,
-    Changes,
-    ObjectStoreClient,
-    StoredObject,
-    StoreError,
-)
+from bluebellfold.platform import Changes, ObjectStoreClient, StoredObject
 from bluebellfold.relay.agents import AgentEntry
-from bluebellfold.relay.store.messages import (
-    DeregisterAgent,
-    RegisterAgent,
-    UpdateAgents,
-)
+from bluebellfold.relay.store.messages import UpdateAgents
 from bluebellfold.relay.store.watching import KindWatch
 
 AGENTS_KIND = 'bluebellfold-agents'
@@ -63,7 +51,7 @@
         super().__init__(
             kind=AGENTS_KIND,
             client=ObjectStoreClient(endpoint=endpoint),
-            backoff=_create_backoff(),
+            backoff=create_backoff(),
             wait_seconds=WAIT_SECONDS,
             settle_seconds=SETTLE_SECONDS,
             copies=copies,
@@ -140,123 +128,6 @@
             )
 
 
-class AgentRegistrar(Actor):
-    """Register this agent in the store while it has an upstream.
-
-    Balancers look flows up at each listed agent, and reset a flow once all have
-    denied it. An agent that is started after its upstream has left could deny
-    none for the length of the idle time, so it isn't listed. An entry that
-    stays until the agent stops would outlive a power loss before that.
-    """
-
-    reactions = Registry(name='reactions of the registrar')
-
-    def __init__(self, *, endpoint: Endpoint, entry: AgentEntry) -> None:
-        super().__init__(name='registrar')
-        self._client = ObjectStoreClient(endpoint=endpoint)
-        self._entry = entry
-        self._backoff = _create_backoff()
-        # Whether the entry has to be in the store; None until it is known.
-        self._is_wanted: bool | None = None
-        self._is_removed = False
-        self._wish_changed = asyncio.Event()
-
-    async def close(self) -> None:
-        """Close the connection to the store."""
-        await super().close()
-        self._client.close()
-
-    async def deregister(self) -> None:
-        """Delete the object; keep it if the store is unreachable."""
-        if self._is_removed:
-            return
-        try:
-            await self._delete_object()
-        except StoreError as error:
-            log_event(
-                _log,
-                'BBF0734',
-                object_name=self._entry.address[0],
-                problem=error.problem,
-            )
-
-    @reactions.add(RegisterAgent)
-    def _start_registration(self, _: RegisterAgent) -> None:
-        self._want_entry(wanted=True)
-
-    @reactions.add(DeregisterAgent)
-    def _start_deregistration(self, _: DeregisterAgent) -> None:
-        self._want_entry(wanted=False)
-
-    def _want_entry(self, *, wanted: bool) -> None:
-        if self._is_wanted is wanted:
-            return
-        if self._is_wanted is None:
-            self.supervise(self._update_store, name='register')
-        self._is_wanted = wanted
-        self._wish_changed.set()
-
-    async def _update_store(self) -> None:
-        while True:
-            await self._wish_changed.wait()
-            self._wish_changed.clear()
-            await self._retry(wanted=bool(self._is_wanted))
-
-    async def _retry(self, *, wanted: bool) -> None:
-        """Write or delete the object until this succeeds or is outdated."""
-        change = self._write_object if wanted else self._delete_object
-        attempt = 0
-        while self._is_wanted is wanted:
-            try:
-                done = await change()
-            except StoreError as error:
-                done = False
-                if attempt == 0:
-                    log_event(_log, 'BBF0306', problem=error.problem)
-            if done:
-                self._is_removed = not wanted
-                event = 'BBF0733' if wanted else 'BBF0757'
-                log_event(_log, event, attempt=attempt)
-                return
-            await asyncio.sleep(self._backoff.delay_seconds(attempt))
-            attempt += 1
-
-    async def _delete_object(self) -> bool:
-        """Return whether the object is gone."""
-        name = self._entry.address[0]
-        stored = await self._client.read(AGENTS_KIND, name)
-        if not isinstance(stored, StoredObject):
-            return True
-        refusal = await self._client.delete(AGENTS_KIND, name, stored.revision)
-        return refusal is None or refusal is MISSING_OBJECT
-
-    async def _write_object(self) -> bool:
-        """Return whether the object is in the store as it should be."""
-        # The name is the address of this machine, so an existing object was
-        # written by an earlier incarnation of the agent. It is replaced only if
-        # it differs.
-        name, port = self._entry.address
-        spec = {
-            'host': name,
-            'port': port,
-            'service': self._entry.service,
-            'zone': self._entry.zone,
-        }
-        if await self._client.create(AGENTS_KIND, name, spec):
-            return True
-        stored = await self._client.read(AGENTS_KIND, name)
-        if not stored:
-            # The deletion by the earlier incarnation took effect just now.
-            return False
-        if stored.spec == spec:
-            return True
-        replaced = await self._client.replace(
-            AGENTS_KIND,
-            StoredObject(name=name, revision=stored.revision, spec=spec),
-        )
-        return bool(replaced)
-
-
 def list_agents(
     entries: Iterable[AgentEntry],
     *,
@@ -296,5 +167,6 @@
     return AgentEntry(address=address, service=labels[0], zone=labels[1])
 
 
-def _create_backoff() -> Backoff:
+def create_backoff() -> Backoff:
+    """Return the delays between calls that concern the list of agents."""
     return Backoff(randomness=random.Random(), cap_seconds=RETRY_CAP_SECONDS)
--- /dev/null
+++ b/bluebellfold/relay/store/tests/test_registrar.py
@@ -0,0 +1,134 @@
+"""Test the registration of agents while writes are lost or executed late."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from bluebellfold.relay.store import (
+    AGENTS_KIND,
+    DeregisterAgent,
+    RegisterAgent,
+)
+from bluebellfold.relay.store.tests.test_agents import (
+    FIRST,
+    register,
+    run_watched,
+    start_registrar,
+    stop,
+)
+
+
+async def wait_for_registration(registrar):
+    """Wait until the registrar has seen its entry in the store."""
+    async with asyncio.timeout(5):
+        while not registrar.is_registered:
+            await asyncio.sleep(0.01)
+
+
+# Guards against open flows that are reset or get no answer for good: the
+# deletion by the previous start was executed late, after this start had taken
+# the entry for its own, and nothing wrote the entry again.
+def test_late_deletion_by_the_previous_start_leaves_the_entry():
+    async def scenario(standin, _):
+        previous = await register(standin, FIRST)
+        standin.inject(hold_writes=1)
+        await previous.deregister()
+        registrar, running = start_registrar(standin, FIRST, incarnation=2)
+        await wait_for_registration(registrar)
+        await standin.execute_held()
+        assert standin.store.names(AGENTS_KIND) == [FIRST[0]]
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
+
+
+# Guards against the same loss under an agent that goes on: its upstream is
+# restarted in place, while the deletion is on its way.
+def test_late_deletion_leaves_the_entry_of_the_next_upstream():
+    async def scenario(standin, _):
+        registrar, running = start_registrar(standin, FIRST)
+        await wait_for_registration(registrar)
+        standin.inject(hold_writes=1)
+        registrar.tell(DeregisterAgent())
+        async with asyncio.timeout(5):
+            while standin.fault('hold_writes'):
+                await asyncio.sleep(0.01)
+        registrar.tell(RegisterAgent())
+        await wait_for_registration(registrar)
+        await standin.execute_held()
+        assert standin.store.names(AGENTS_KIND) == [FIRST[0]]
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
+
+
+# Of two starts at one address, whose upstreams are restarted in place.
+WRITES = 7
+
+
+async def restart_upstream(standin, registrar):
+    """Register again once the deletion has reached the store."""
+    writes = standin.counts['write']
+    registrar.tell(DeregisterAgent())
+    async with asyncio.timeout(5):
+        while standin.counts['write'] == writes:
+            await asyncio.sleep(0)
+    registrar.tell(RegisterAgent())
+    await wait_for_registration(registrar)
+
+
+# Guards against agents that get no flows for good: any one or two writes lose
+# their responses, and are executed at once or late.
+@pytest.mark.parametrize(
+    ('fault', 'first', 'count'),
+    tuple(
+        itertools.product(
+            ('lose_answers', 'hold_writes'), range(WRITES), (1, 2)
+        )
+    ),
+)
+def test_running_agent_stays_listed_whichever_write_is_lost(
+    monkeypatch, fault, first, count
+):
+    writes = itertools.count()
+
+    def is_lost(name):
+        return name == fault and first <= next(writes) < first + count
+
+    async def scenario(standin, _):
+        monkeypatch.setattr(standin, 'consume_fault', is_lost)
+        previous, running = start_registrar(standin, FIRST)
+        await wait_for_registration(previous)
+        await restart_upstream(standin, previous)
+        await stop(previous, running)
+        await previous.deregister()
+        current, running = start_registrar(standin, FIRST, incarnation=2)
+        await wait_for_registration(current)
+        await restart_upstream(standin, current)
+        await standin.execute_held()
+        assert standin.store.names(AGENTS_KIND) == [FIRST[0]]
+        await stop(current, running)
+
+    asyncio.run(run_watched(scenario))
+
+
+# Guards against lookups that wait for an agent that is gone: its creation was
+# executed after its deletion, and a removed agent deleted nothing at its stop.
+def test_agent_that_was_created_late_is_removed_at_its_stop():
+    async def scenario(standin, _):
+        standin.inject(hold_writes=1)
+        registrar, running = start_registrar(standin, FIRST)
+        await wait_for_registration(registrar)
+        registrar.tell(DeregisterAgent())
+        async with asyncio.timeout(5):
+            while standin.store.names(AGENTS_KIND):
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        await standin.execute_held()
+        assert standin.store.names(AGENTS_KIND)
+        await stop(registrar, running)
+        await registrar.deregister()
+        assert not standin.store.names(AGENTS_KIND)
+
+    asyncio.run(run_watched(scenario))
--- a/bluebellfold/standins/object_api.py
+++ b/bluebellfold/standins/object_api.py
@@ -19,13 +19,15 @@
 
 SLOW_SECONDS = 'slow_seconds'
 REFUSE = 'refuse'
+# The next writes, this many, aren't answered and are executed later.
+HOLD_WRITES = 'hold_writes'
 LOOPBACK = '127.0.0.1'
 # JSON escapes can make a request larger than its object of at most 1 MiB.
 MAX_REQUEST_BYTES = 8_000_000
 # Time limit for open watches when the server stops; 0 would mean no limit.
 SHUTDOWN_SECONDS = 0.05
 KIND_PATH = '/bluebellfold/objects/{kind}'
-FAULTS = (SLOW_SECONDS, REFUSE, LOSE_RESPONSES, STALE_READS)
+FAULTS = (SLOW_SECONDS, REFUSE, LOSE_RESPONSES, STALE_READS, HOLD_WRITES)
 
 
 class PlatformStandin:
@@ -38,6 +40,7 @@
         self.store = ObjectStore()
         self._counts: Counter[str] = Counter()
         self._faults: dict[str, Any] = {}
+        self._held: list[web.Request] = []
         self._runner = web.AppRunner(
             self._application(), shutdown_timeout=SHUTDOWN_SECONDS
         )
@@ -76,6 +79,12 @@
         self._faults.update(faults)
         self.store.wake()
 
+    async def execute_held(self) -> None:
+        """Execute the held writes whose conditions still hold, in order."""
+        while self._held:
+            request = self._held.pop(0)
+            await calls.find(call_kind(request))(self, request)
+
     def fault(self, name: str) -> Any:
         """Return the setting of a fault, or None."""
         return self._faults.get(name)
@@ -99,6 +108,9 @@
         # during the delay.
         await request.read()
         await self._apply_faults()
+        if kind in WRITES and self.consume_fault(HOLD_WRITES):
+            self._held.append(request)
+            return self._end_unanswered(request)
         return await calls.find(kind)(self, request)
 
     async def serve_calls(self, request: web.Request) -> web.Response:
@@ -110,6 +122,11 @@
         self.inject(**await request.json())
         return web.json_response(self._faults)
 
+    def _end_unanswered(self, request: web.Request) -> web.Response:
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response()
+
     async def _apply_faults(self) -> None:
         await asyncio.sleep(self.fault(SLOW_SECONDS) or 0)
         self.raise_if_refusing()
--- a/bluebellfold/standins/object_calls.py
+++ b/bluebellfold/standins/object_calls.py
@@ -147,7 +147,8 @@
 def _write_response(
     standin: FaultyStore, request: web.Request, outcome: Fields | Sentinel
 ) -> web.Response:
-    if standin.consume_fault(LOSE_RESPONSES):
+    # A held write is executed after its connection has ended.
+    if request.transport is not None and standin.consume_fault(LOSE_RESPONSES):
         request.transport.abort()
     if outcome is TOO_LARGE:
         return web.Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
