Keep agents that run though the store doesn't list them

A balancer dropped an agent with its entry, also while the agent reported to it.

Cause: the list in the store was the only evidence for an agent, and the registrar compared its wish with the store only when the wish changed.

Change: an agent that leaves the list is kept while it reports and its upstream isn't down; agents that aren't followed are asked. Subscribe tells an agent that the list lacks it, and its registrar reads the entry, at most once a second, and writes it if it is missing.

Subscribe has a new field: processes of a site have to run the same version.

--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -366,6 +366,18 @@
     meaning='the agent asks the store to delete this revision of its entry',
     remedy=NO_REMEDY,
 )
+register(
+    number='BBF0759',
+    level=logging.WARNING,
+    meaning='the list lacks an agent that runs; it is kept while it reports',
+    remedy='check who removed its entry, or whether the store lost writes',
+)
+register(
+    number='BBF0760',
+    level=logging.WARNING,
+    meaning='a balancer misses the entry of this agent in the list; it is read',
+    remedy='check who removed its entry, or whether the store lost writes',
+)
 register(
     number='BBF0734',
     level=logging.WARNING,
--- a/bluebellfold/model/machines.py
+++ b/bluebellfold/model/machines.py
@@ -257,6 +257,9 @@
         """Reset the flow of a client's packet."""
         self._world.deliver_to_client(encode_reset(packet), reset_by=self.host)
 
+    def verify_registration(self) -> None:
+        """Do nothing: the list of agents loses no entries here."""
+
     def request_id(self, packet: Packet) -> str:
         """Return the id of the request that begins in a packet."""
         return payload_of(packet).hex()
--- a/bluebellfold/relay/agents/agent_table.py
+++ b/bluebellfold/relay/agents/agent_table.py
@@ -337,6 +337,10 @@
         """Return the view of an agent, None if it is not in the table."""
         return self._views.get(address)
 
+    def get(self, address: Address) -> AgentView:
+        """Return the view of an agent that is in the table."""
+        return self._views[address]
+
     def extend_report_deadlines(self, now: float) -> None:
         """Extend the report deadline of all agents.
 
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -29,9 +29,9 @@
 )
 
 # Idle seconds, offers sent, configuration version, agent list revision, one
-# report only, evacuation revision, evacuated, new flows per second while
-# warming up.
-_SUBSCRIBE_FIELDS = struct.Struct('>fIqq?q?f')
+# report only, evacuation revision, evacuated, not in the list of agents, new
+# flows per second while warming up.
+_SUBSCRIBE_FIELDS = struct.Struct('>fIqq?q??f')
 _MAX_COUNTER = 0xFFFFFFFF
 _MAX_SHORT = 0xFFFF
 # Bounds of durations in messages.
@@ -199,6 +199,7 @@
         message.once,
         message.versions.evacuation.revision,
         message.versions.evacuation.evacuated,
+        message.is_unlisted,
         message.warmup_flows_per_second,
     )
     return bytes((_SUBSCRIBE,)) + numbers
@@ -218,6 +219,7 @@
             evacuation=Evacuation(revision=numbers[5], evacuated=numbers[6]),
         ),
         once=numbers[4],
+        is_unlisted=numbers[7],
         warmup_flows_per_second=numbers[-1],
     )
 
--- a/bluebellfold/relay/agents/messages.py
+++ b/bluebellfold/relay/agents/messages.py
@@ -192,11 +192,12 @@
     offers that were lost. ``versions`` are those in force at the balancer.
     With ``once``, the agent sends one report and none after it. While the
     upstream is warming up, it takes ``warmup_flows_per_second`` new flows; 0
-    sets no limit.
+    sets no limit. ``is_unlisted`` tells that the store doesn't list the agent.
     """
 
     __slots__ = (
         '_idle_seconds',
+        '_is_unlisted',
         '_offers_sent',
         '_once',
         '_versions',
@@ -204,6 +205,7 @@
     )
 
     idle_seconds: float = read_only('_idle_seconds')
+    is_unlisted: bool = read_only('_is_unlisted')
     offers_sent: int = read_only('_offers_sent')
     once: bool = read_only('_once')
     versions: Versions = read_only('_versions')
@@ -217,8 +219,10 @@
         versions: Versions,
         once: bool = False,
         warmup_flows_per_second: float = 0,
+        is_unlisted: bool = False,
     ) -> None:
         self._idle_seconds = idle_seconds
+        self._is_unlisted = is_unlisted
         self._offers_sent = offers_sent
         self._versions = versions
         self._once = once
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -56,6 +56,7 @@
                 agents=3,
                 evacuation=Evacuation(evacuated=True, revision=9),
             ),
+            is_unlisted=True,
             warmup_flows_per_second=2.5,
         ),
         report_of(warmup=Warmup(flows_left=NO_FLOW_LIMIT)),
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -101,6 +101,7 @@
             'agents-listed': agents.listed,
             'agents-live': agents.live,
             'agents-revision': self._relay.agents_revision,
+            'agents-unlisted': self._relay.unlisted_agents,
             'configuration-version': self._relay.version,
             'oldest-report-milliseconds': oldest_report_ms,
             'services-unserved': agents.unserved,
--- a/bluebellfold/relay/callers/agent_follower.py
+++ b/bluebellfold/relay/callers/agent_follower.py
@@ -24,6 +24,7 @@
 from bluebellfold.relay.callers.evacuations import Evacuations
 from bluebellfold.relay.callers.home_regions import HomeRegions
 from bluebellfold.relay.callers.transport import Transport
+from bluebellfold.relay.callers.unlisted_agents import UnlistedAgents
 from bluebellfold.relay.callers.versions import ActiveRoutes
 
 # A subscription lasts 2 s: two renewals may be lost.
@@ -62,6 +63,7 @@
         '_sampled_at',
         '_subscribe_due',
         '_transport',
+        '_unlisted',
         '_zone',
     )
 
@@ -76,8 +78,10 @@
         transport: Transport,
         draw: Callable[[], float],
         home_regions: HomeRegions,
+        unlisted: UnlistedAgents,
     ) -> None:
         self._identity = identity
+        self._unlisted = unlisted
         self._home_regions = home_regions
         self._zone = zone
         self._agent_table = agent_table
@@ -129,8 +133,10 @@
         return round(sum(estimates) / len(estimates)) if estimates else 0
 
     def tick(self, now: float) -> None:
-        """Renew subscriptions, and probe silent agents."""
+        """Renew subscriptions, and probe silent and unlisted agents."""
         self._renew(now)
+        for address in self._unlisted.addresses:
+            self.check_owner(self._agent_table.get(address), now)
         for view in self._agent_table.next_awaited(MAX_AWAITED_PER_TICK):
             self._probe_awaited(view, now)
 
@@ -162,6 +168,10 @@
             return
         if now - view.probed_at < OWNER_PROBE_INTERVAL_SECONDS:
             return
+        self.probe(view, now)
+
+    def probe(self, view: AgentView, now: float) -> None:
+        """Ask an agent to prove at once that it is alive."""
         self._agent_table.expect_message(view, now)
         self._ask(view, now)
 
@@ -249,5 +259,6 @@
                 warmup_flows_per_second=self._routes.table.find_warmup_rate(
                     service
                 ),
+                is_unlisted=view.address in self._unlisted,
             ),
         )
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -32,6 +32,7 @@
 from bluebellfold.relay.callers.home_regions import NO_REGIONS, HomeRegions
 from bluebellfold.relay.callers.state_sources import StateSources
 from bluebellfold.relay.callers.transport import Transport
+from bluebellfold.relay.callers.unlisted_agents import UnlistedAgents
 from bluebellfold.relay.callers.versions import ActiveRoutes
 from bluebellfold.relay.collectors import Journal
 
@@ -71,6 +72,7 @@
         '_sources',
         '_sweep_due',
         '_transport',
+        '_unlisted',
     )
 
     def __init__(
@@ -90,6 +92,7 @@
         self._routes = ActiveRoutes()
         self._agent_table = AgentTable()
         self._agent_list = AgentListVersion()
+        self._unlisted = UnlistedAgents(agent_table=self._agent_table)
         self._evacuations = Evacuations()
         self._sources = StateSources()
         self._flows = FlowCache()
@@ -102,6 +105,7 @@
             transport=transport,
             draw=draw,
             home_regions=home_regions,
+            unlisted=self._unlisted,
         )
         self._forwarder = FlowForwarder(
             zone=zone,
@@ -153,6 +157,11 @@
         """Return what is known of agents."""
         return self._agent_table
 
+    @property
+    def unlisted_agents(self) -> int:
+        """Return how many agents run that the list lacks."""
+        return len(self._unlisted)
+
     @property
     def cached_flows(self) -> int:
         """Return the number of flows in the cache."""
@@ -249,17 +258,12 @@
             now=now,
             next_read_seconds=next_read_seconds,
         )
-        change = self._follower.update_agents(entries, now, revision=revision)
-        if change.added or change.removed:
-            self._forwarder.update_homes()
-        if change.added or change.removed:
-            self._journal.log(
-                'BBF0708',
-                added=list(change.added),
-                removed=list(change.removed),
-                revision=revision,
-            )
-            self._admission.refuse_ineligible(now)
+        kept = self._unlisted.replace_listed(entries, now)
+        self._apply_agents(now)
+        for address in kept:
+            self._journal.count('agents-found-unlisted')
+            self._journal.log('BBF0759', agent=address[0], as_of=as_of)
+            self._follower.probe(self._agent_table.get(address), now)
 
     def update_evacuations(
         self,
@@ -316,6 +320,8 @@
                     ),
                 )
         self._follower.tick(now)
+        if self._unlisted.remove_silent(now):
+            self._apply_agents(now)
         if now >= self._register_due:
             self._register_due = now + REGISTER_INTERVAL_SECONDS
             self._forwarder.register_owners(now)
@@ -422,6 +428,22 @@
             return NEVER
         return self._agent_list.complete_at(now)
 
+    def _apply_agents(self, now: float) -> None:
+        revision = self._agent_list.revision
+        change = self._follower.update_agents(
+            self._unlisted.all_entries, now, revision=revision
+        )
+        if not change.added and not change.removed:
+            return
+        self._forwarder.update_homes()
+        self._journal.log(
+            'BBF0708',
+            added=list(change.added),
+            removed=list(change.removed),
+            revision=revision,
+        )
+        self._admission.refuse_ineligible(now)
+
     def _apply_evacuations(self, now: float) -> None:
         # The agents that this balancer follows learn it within a tick.
         self._follower.renew_at_once(now)
--- a/bluebellfold/relay/store/__init__.py
+++ b/bluebellfold/relay/store/__init__.py
@@ -20,6 +20,7 @@
     UpdateAgents,
     UpdateEvacuations,
     UpdateRoutes,
+    VerifyRegistration,
 )
 from bluebellfold.relay.store.registrar import AgentRegistrar
 
@@ -40,6 +41,7 @@
     'UpdateAgents',
     'UpdateEvacuations',
     'UpdateRoutes',
+    'VerifyRegistration',
     'decode_agent',
     'list_agents',
 )
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -82,6 +82,12 @@
     __slots__ = ()
 
 
+class VerifyRegistration(Message):
+    """Write the entry again if it is missing: a balancer doesn't find it."""
+
+    __slots__ = ()
+
+
 class UpdateEvacuations(Message):
     """Replace the evacuated zones, as of a revision of the store.
 
--- a/bluebellfold/relay/store/registrar.py
+++ b/bluebellfold/relay/store/registrar.py
@@ -21,7 +21,15 @@
 )
 from bluebellfold.relay.agents import AgentEntry
 from bluebellfold.relay.store.agents import AGENTS_KIND, create_backoff
-from bluebellfold.relay.store.messages import DeregisterAgent, RegisterAgent
+from bluebellfold.relay.store.messages import (
+    DeregisterAgent,
+    RegisterAgent,
+    VerifyRegistration,
+)
+
+# Each balancer that misses the entry tells so every 0.6 s. A rewritten entry is
+# known to all of them within this time.
+VERIFY_INTERVAL_SECONDS = 1.0
 
 _log = logging.getLogger(__name__)
 
@@ -57,6 +65,7 @@
         # A creation without a response may be executed after the deletion.
         self._may_reappear = False
         self._wish_changed = asyncio.Event()
+        self._verify_due = float(0)
 
     @property
     def is_registered(self) -> bool:
@@ -91,6 +100,22 @@
     def _start_deregistration(self, _: DeregisterAgent) -> None:
         self._want_entry(wanted=False)
 
+    @reactions.add(VerifyRegistration)
+    def _verify_registration(self, _: VerifyRegistration) -> None:
+        now = asyncio.get_running_loop().time()
+        # A registration that goes on reads the store anyway.
+        if not self._is_registered or now < self._verify_due:
+            return
+        self._verify_due = now + VERIFY_INTERVAL_SECONDS
+        log_event(
+            _log,
+            'BBF0760',
+            object_name=self._entry.address[0],
+            revision=self._revision,
+        )
+        self._is_registered = False
+        self._wish_changed.set()
+
     def _want_entry(self, *, wanted: bool) -> None:
         if self._is_wanted is wanted:
             return
--- a/bluebellfold/relay/store/tests/test_registrar.py
+++ b/bluebellfold/relay/store/tests/test_registrar.py
@@ -9,6 +9,7 @@
     AGENTS_KIND,
     DeregisterAgent,
     RegisterAgent,
+    VerifyRegistration,
 )
 from bluebellfold.relay.store.tests.test_agents import (
     FIRST,
@@ -132,3 +133,56 @@
         assert not standin.store.names(AGENTS_KIND)
 
     asyncio.run(run_watched(scenario))
+
+
+def remove_entry(standin):
+    stored = standin.store.read(AGENTS_KIND, FIRST[0])
+    revision = stored['meta']['Revision']
+    standin.store.delete(AGENTS_KIND, FIRST[0], revision=revision)
+
+
+# Guards against an agent that stays out of the list for good: its entry was
+# removed while it ran, and the registrar looked at its own wish only.
+def test_entry_that_is_missing_is_written_again():
+    async def scenario(standin, _):
+        registrar, running = start_registrar(standin, FIRST)
+        await wait_for_registration(registrar)
+        remove_entry(standin)
+        registrar.tell(VerifyRegistration())
+        async with asyncio.timeout(5):
+            while not standin.store.names(AGENTS_KIND):
+                await asyncio.sleep(0.01)
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
+
+
+# Load pattern: hundreds of balancers miss an entry at once.
+def test_many_reports_of_a_missing_entry_cost_one_read():
+    async def scenario(standin, _):
+        registrar, running = start_registrar(standin, FIRST)
+        await wait_for_registration(registrar)
+        revision = standin.store.revision
+        reads = standin.counts['read']
+        for _ in range(100):
+            registrar.tell(VerifyRegistration())
+        await asyncio.sleep(0.3)
+        assert standin.counts['read'] == reads + 1
+        assert standin.store.revision == revision
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
+
+
+# Guards against an entry of an agent without an upstream.
+def test_missing_entry_of_an_agent_without_upstream_stays_away():
+    async def scenario(standin, _):
+        registrar, running = start_registrar(standin, FIRST)
+        await wait_for_registration(registrar)
+        registrar.tell(DeregisterAgent())
+        registrar.tell(VerifyRegistration())
+        await asyncio.sleep(0.3)
+        assert not standin.store.names(AGENTS_KIND)
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -171,6 +171,10 @@
         self.delivered = []
         self.to_clients = []
         self.resets = []
+        self.verifications = 0
+
+    def verify_registration(self):
+        self.verifications += 1
 
     def send_to_balancer(self, address, message):
         self.sent.append((address, message))
--- a/bluebellfold/relay/upstreams/actor.py
+++ b/bluebellfold/relay/upstreams/actor.py
@@ -32,7 +32,11 @@
 )
 from bluebellfold.relay.balancers import balancer_tag
 from bluebellfold.relay.collectors import Journal
-from bluebellfold.relay.store import DeregisterAgent, RegisterAgent
+from bluebellfold.relay.store import (
+    DeregisterAgent,
+    RegisterAgent,
+    VerifyRegistration,
+)
 from bluebellfold.relay.upstreams.agent_start import AgentStart
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.messages import (
@@ -184,6 +188,11 @@
         """Send the client of a packet a reset of its flow."""
         self._send_raw_to_client(packet, encode_reset(packet))
 
+    def verify_registration(self) -> None:
+        """Have the agent registered again if the store doesn't list it."""
+        if self._registrar is not None and self._is_listed:
+            self._registrar.tell(VerifyRegistration())
+
     def request_id(self, packet: Packet) -> str:
         """Return the id of the request that begins in a packet."""
         return find_request_id(packet)
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -60,6 +60,7 @@
         '_reporter',
         '_silence',
         '_sweep_due',
+        '_transport',
         '_unknown_flows',
         '_warmup',
     )
@@ -77,6 +78,7 @@
         warmup: WarmupLimit | None = None,
     ) -> None:
         self._agent_start = agent_start
+        self._transport = transport
         self._warmup = warmup or WarmupLimit(now=now)
         self._health = health
         self._journal = journal
@@ -261,6 +263,8 @@
     def _handle_subscribe(
         self, message: Subscribe, address: Address, now: float
     ) -> None:
+        if message.is_unlisted:
+            self._transport.verify_registration()
         if self._reporter.subscribe(message, address, now):
             subscriptions = self._reporter.subscriptions
             self._unknown_flows.record_subscriber(
--- a/bluebellfold/relay/upstreams/tests/test_registration.py
+++ b/bluebellfold/relay/upstreams/tests/test_registration.py
@@ -4,12 +4,20 @@
 
 from bluebellfold.core import Actor, Reply
 from bluebellfold.relay.store import DeregisterAgent, RegisterAgent
-from bluebellfold.relay.tests.harness import announcement_of
+from bluebellfold.relay.tests.harness import (
+    announcement_of,
+    encode_and_decode,
+    subscribe_of,
+)
 from bluebellfold.relay.upstreams import StopWhenIdle
 from bluebellfold.relay.upstreams.messages import (
     ApplyAnnouncement,
     ApplyDeregistration,
 )
+from bluebellfold.relay.upstreams.tests.harness import (
+    BALANCER,
+    agent_with_balancer,
+)
 from bluebellfold.relay.upstreams.tests.test_stop import actor_of
 
 
@@ -67,6 +75,17 @@
     assert told == [RegisterAgent, DeregisterAgent, RegisterAgent]
 
 
+# Guards against an agent that stays out of the list for good.
+def test_balancer_that_misses_the_agent_has_its_entry_verified():
+    agent, told = agent_with_balancer(), []
+    agent.transport.verify_registration = lambda: told.append('verify')
+    agent.receive_message(BALANCER, encode_and_decode(subscribe_of()))
+    assert not told
+    message = encode_and_decode(subscribe_of(is_unlisted=True))
+    agent.receive_message(BALANCER, message)
+    assert told == ['verify']
+
+
 def test_late_deregistration_of_another_upstream_changes_nothing():
     told = told_after((announce, 'b'), (deregister, 'a'), (announce, 'b'))
     assert told == [RegisterAgent]
--- a/bluebellfold/relay/upstreams/transport.py
+++ b/bluebellfold/relay/upstreams/transport.py
@@ -21,6 +21,9 @@
     def reset_client(self, packet: Packet) -> None:
         """Send the client of a packet a reset of its flow."""
 
+    def verify_registration(self) -> None:
+        """Have the agent registered again if the store doesn't list it."""
+
     def request_id(self, packet: Packet) -> str:
         """Return the id of the request that begins in a packet."""
         ...
