Count denials of a flow whose agent has left the list

Cause: a denial by another agent doesn't count while the cached agent is believed to hold the flow, and a cached agent that had left the list still was.

Change: it counts once the table no longer has the cached agent.

--- a/bluebellfold/relay/callers/forwarding.py
+++ b/bluebellfold/relay/callers/forwarding.py
@@ -258,12 +258,13 @@
         self._journal.log('BBF0705', flow=format_flow(flow), agent=address[0])
 
     def _accept_not_found(self, flow: bytes, address: Address) -> bool:
-        # Unassigns the agent if it is the cached one. Returns false if another
-        # agent is known to hold the flow.
+        # Unassigns the agent if it is the cached one, or has left. Returns
+        # false if another agent is known to hold the flow.
         assignment = self._flows.find(flow)
         if assignment is None or assignment.agent is None:
             return True
-        if assignment.agent != address:
+        has_left = self._agent_table.find(assignment.agent) is None
+        if assignment.agent != address and not has_left:
             return False
         self._flows.remove(flow)
         return True
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -483,3 +483,31 @@
     assert balancer.transport.pop_messages(ForwardedPacket) == [
         (SECOND, ForwardedPacket(packet=DATA))
     ]
+
+
+# Guards against clients that get no answer until their deadline: while the
+# cache named an agent that had left the list, all denials were ignored.
+def test_flow_of_an_agent_that_has_left_is_reset_once_others_deny_it():
+    balancer = balancer_with(report_of(), report_of(in_flight=1))
+    balancer.receive_packet(opening_packet())
+    balancer.receive_packet(DATA)
+    assert balancer.transport.pop_messages(ForwardedPacket)
+    balancer.advance(1)
+    balancer.list_agents((SECOND,))
+    balancer.advance(1)
+    balancer.receive_packet(DATA)
+    balancer.receive_message(SECOND, FlowNotFound(flow=DATA.flow))
+    assert balancer.transport.resets == [DATA]
+
+
+# Guards against resets of living flows: an agent that is listed but silent may
+# hold the flow.
+def test_flow_of_a_silent_agent_is_not_reset_when_others_deny_it():
+    balancer = balancer_with(report_of(), report_of(in_flight=1))
+    balancer.receive_packet(opening_packet())
+    balancer.receive_packet(DATA)
+    balancer.advance(3.5)
+    balancer.receive_message(SECOND, report_of(sequence=2))
+    balancer.receive_packet(DATA)
+    balancer.receive_message(SECOND, FlowNotFound(flow=DATA.flow))
+    assert not balancer.transport.resets
