Restart machines and execute writes late in the soak

Three faults are new: a machine is restarted as planned, the store leaves writes unanswered and executes them 6 s later (deletions, other writes or all), and both at once. A run ends with a check that each agent is listed again within the recovery time.

--- a/bluebellfold/soak/process_faults.py
+++ b/bluebellfold/soak/process_faults.py
@@ -56,17 +56,32 @@
     host = children[index].host
     if not site.try_acquire(host):
         return
+    await restart_held_process(
+        site, children, index, terminate=terminate, seconds=fault.seconds / 2
+    )
+    site.release(host)
+
+
+async def restart_held_process(
+    site: SoakSite,
+    children: list[Child],
+    index: int,
+    *,
+    terminate: Callable[[Child], Awaitable[None]],
+    seconds: float,
+) -> None:
+    """End a process of an acquired host, and start it after some seconds."""
+    host = children[index].host
     started_at = site.now()
     # Suspends the checks during the restart; its total duration is recorded
     # afterwards.
-    site.record_disturbance(host, fault.seconds)
+    site.record_disturbance(host, 2 * seconds)
     await terminate(children[index])
-    await asyncio.sleep(fault.seconds / 2)
+    await asyncio.sleep(seconds)
     await site.restart(children, index)
     site.checker.record_disturbance(
         host, started_at=started_at, ended_at=site.now()
     )
-    site.release(host)
 
 
 async def _kill(child: Child) -> None:
--- a/bluebellfold/soak/run.py
+++ b/bluebellfold/soak/run.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from bluebellfold.core import Record, read_only
+from bluebellfold.relay.store import AGENTS_KIND
 from bluebellfold.soak.clients import (
     probe_extra_route,
     run_long_flows,
@@ -111,9 +112,11 @@
     try:
         async with asyncio.timeout(RECOVERY_SECONDS):
             await _wait_until_served(site)
+            await _wait_until_listed(site)
     except TimeoutError:
         site.checker.violations.append(
-            'requests not served after the last fault'
+            'requests not served after the last fault, or agents not listed: '
+            f'{sorted(_unlisted_hosts(site))}'
         )
     outcomes = await _cancel_all(tasks)
     site.checker.violations.extend(
@@ -152,6 +155,16 @@
     )
 
 
+async def _wait_until_listed(site: SoakSite) -> None:
+    """Wait until the store lists each agent."""
+    while _unlisted_hosts(site):
+        await asyncio.sleep(POLL_SECONDS)
+
+
+def _unlisted_hosts(site: SoakSite) -> set[str]:
+    return set(site.agent_hosts()).difference(site.store.names(AGENTS_KIND))
+
+
 async def _wait_for_balancer(site: SoakSite, balancer: int) -> None:
     while not await _is_served(site, balancer):
         await asyncio.sleep(POLL_SECONDS)
--- a/bluebellfold/soak/site.py
+++ b/bluebellfold/soak/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from collections.abc import Sequence
 from itertools import pairwise
 from pathlib import Path
 
@@ -164,6 +165,13 @@
         self._acquired.add(component)
         return True
 
+    def try_acquire_all(self, components: Sequence[str]) -> bool:
+        """Acquire components for a fault, unless another fault has one."""
+        if not self._acquired.isdisjoint(components):
+            return False
+        self._acquired.update(components)
+        return True
+
     def release(self, component: str) -> None:
         """Release a component for other faults."""
         self._acquired.discard(component)
--- a/bluebellfold/soak/store_faults.py
+++ b/bluebellfold/soak/store_faults.py
@@ -9,6 +9,13 @@
 
 SLOW_SECONDS = 0.4
 SHORT_IDLE_MS = 5000
+# A call without a response may be executed up to 6 s later.
+LATE_SECONDS = 6.0
+# More writes than the processes of a soak send during a fault.
+ALL_WRITES = 1_000_000
+# One of these is drawn. A creation that is held with a deletion repairs what
+# the deletion does.
+HELD_METHODS = (('DELETE',), ('POST', 'PUT'), ('DELETE', 'POST', 'PUT'))
 
 
 @FAULTS.add('store-refuses')
@@ -37,6 +44,21 @@
     await asyncio.sleep(0)
 
 
+@FAULTS.add('store-delays-writes')
+async def delay_writes(site: SoakSite, fault: ScheduledFault) -> None:
+    """Leave writes unanswered, and execute them seconds later."""
+    if not site.try_acquire(STORE):
+        return
+    site.record_disturbance(STORE, fault.seconds)
+    methods = HELD_METHODS[fault.target % len(HELD_METHODS)]
+    site.platform.inject(hold_writes=ALL_WRITES, hold_methods=methods)
+    await asyncio.sleep(fault.seconds)
+    site.platform.inject(hold_writes=0)
+    site.release(STORE)
+    await asyncio.sleep(LATE_SECONDS)
+    await site.platform.execute_held()
+
+
 @FAULTS.add('configuration-changed')
 async def change_configuration(site: SoakSite, fault: ScheduledFault) -> None:
     """Add the extra route, or remove it if it is present."""
--- a/bluebellfold/soak/tests/test_soak.py
+++ b/bluebellfold/soak/tests/test_soak.py
@@ -38,12 +38,18 @@
     'zone-evacuated-beside-restarts',
     'zone-evacuated-in-a-store-fault',
 )
+MACHINE_KINDS = (
+    'machine-restarted',
+    'machine-restarted-in-late-writes',
+    'store-delays-writes',
+)
 ALL_KINDS = tuple(sorted(EARLIER_KINDS + NEW_KINDS))
 SHORT_SECONDS = 6.0
 SHORT_SEEDS = (
     (1, SHORT_SECONDS, 3, EARLIER_KINDS),
     (2, SHORT_SECONDS, 3, EARLIER_KINDS),
     (3, SHORT_SECONDS, 4, NEW_KINDS),
+    (4, SHORT_SECONDS, 4, MACHINE_KINDS),
 )
 # Add each seed that violates an invariant, with a line on the cause.
 VIOLATING_SEEDS = (
@@ -56,6 +62,9 @@
     # and that one reset the open flow at its deadline.
     (9153, 12.0, 4, ALL_KINDS),
     (9158, 12.0, 4, ALL_KINDS),
+    # The deletion of an agent's entry was executed after the next start of the
+    # agent had taken the entry for its own.
+    (5, 8.0, 4, ('machine-restarted-in-late-writes',)),
 )
 
 
--- a/bluebellfold/soak/upstream_faults.py
+++ b/bluebellfold/soak/upstream_faults.py
@@ -20,6 +20,7 @@
 CLOCK_STEP_MS = 2000
 # A draining upstream is observed for this long after the grace time.
 OBSERVATION_SECONDS = 1.0
+POLL_SECONDS = 0.1
 
 
 @FAULTS.add('upstream-crashed')
@@ -32,8 +33,7 @@
     await asyncio.sleep(fault.seconds)
     upstream = site.start_cold_upstream(index)
     warm_at = time.monotonic() + WARMUP_SECONDS
-    while not await _is_announced(site, index):
-        await asyncio.sleep(fault.seconds / 10)
+    await wait_until_announced(site, index)
     # Until now, the agent may not have known of the restart.
     known_at = time.monotonic()
     await asyncio.sleep(max(0, warm_at - known_at))
@@ -96,8 +96,7 @@
         return
     site.draining.add(index)
     upstream = site.upstreams[index]
-    while not await _is_announced(site, index):
-        await asyncio.sleep(fault.seconds / 10)
+    await wait_until_announced(site, index)
     await asyncio.sleep(DRAIN_GRACE_SECONDS)
     opened = len(upstream.opened_flows)
     await asyncio.sleep(OBSERVATION_SECONDS)
@@ -111,6 +110,12 @@
     site.release(component)
 
 
+async def wait_until_announced(site: SoakSite, index: int) -> None:
+    """Announce an upstream until its agent acknowledges it."""
+    while not await _is_announced(site, index):
+        await asyncio.sleep(POLL_SECONDS)
+
+
 async def _is_announced(site: SoakSite, index: int) -> bool:
     try:
         status = await site.announce_current(index)
--- a/bluebellfold/standins/object_api.py
+++ b/bluebellfold/standins/object_api.py
@@ -21,13 +21,22 @@
 REFUSE = 'refuse'
 # The next writes, this many, aren't answered and are executed later.
 HOLD_WRITES = 'hold_writes'
+# The methods of writes that are held, all by default.
+HOLD_METHODS = 'hold_methods'
 LOOPBACK = '127.0.0.1'
 # JSON escapes can make a request larger than its object of at most 1 MiB.
 MAX_REQUEST_BYTES = 8_000_000
 # Time limit for open watches when the server stops; 0 would mean no limit.
 SHUTDOWN_SECONDS = 0.05
 KIND_PATH = '/bluebellfold/objects/{kind}'
-FAULTS = (SLOW_SECONDS, REFUSE, LOSE_RESPONSES, STALE_READS, HOLD_WRITES)
+FAULTS = (
+    SLOW_SECONDS,
+    REFUSE,
+    LOSE_RESPONSES,
+    STALE_READS,
+    HOLD_WRITES,
+    HOLD_METHODS,
+)
 
 
 class PlatformStandin:
@@ -108,7 +117,8 @@
         # during the delay.
         await request.read()
         await self._apply_faults()
-        if kind in WRITES and self.consume_fault(HOLD_WRITES):
+        held_methods = self.fault(HOLD_METHODS) or WRITES
+        if kind in held_methods and self.consume_fault(HOLD_WRITES):
             self._held.append(request)
             return self._end_unanswered(request)
         return await calls.find(kind)(self, request)
