Report a deregistered upstream as down while the agent stops

An agent whose upstream had deregistered reported it as down, and as draining again 10 ms later, once it was told to stop. Balancers keep an agent whose entry is gone while it isn't down, so lookups of the flows that ended with its upstream would have waited 0.7 s for it at most planned stops.

--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -132,7 +132,7 @@
 
     def state(self, now: float) -> int:
         """Return the state that is reported to balancers."""
-        if self._stopping:
+        if self._stopping and not self._health.deregistered:
             return DRAINING
         state = self._health.state(now)
         return READY if state == UNKNOWN else state
--- a/bluebellfold/relay/upstreams/tests/test_load.py
+++ b/bluebellfold/relay/upstreams/tests/test_load.py
@@ -3,6 +3,8 @@
 import pytest
 
 from bluebellfold.relay.agents import (
+    DOWN,
+    DRAINING,
     ForwardedPacket,
     LoadReport,
 )
@@ -41,6 +43,23 @@
     assert (address, report.load.in_flight) == (BALANCER, 1)
 
 
+# Guards against lookups of lost flows that wait for an agent that has left:
+# balancers keep an agent whose entry is gone, unless its upstream is down.
+def test_agent_whose_upstream_has_deregistered_stays_down_at_its_stop():
+    agent = agent_with_balancer()
+    agent.relay.apply_deregistration('i-1', agent.now)
+    assert last_load(agent).state == DOWN
+    agent.relay.stop(agent.now)
+    agent.advance(0.3)
+    assert last_load(agent).state == DOWN
+
+
+def test_stopping_agent_with_an_upstream_is_draining():
+    agent = agent_with_balancer()
+    agent.relay.stop(agent.now)
+    assert last_load(agent).state == DRAINING
+
+
 def test_upload_is_not_in_flight_until_the_upstream_has_it():
     # The upload of 40 KB over a slow link takes longer than the work on it.
     agent = agent_with_balancer()
