Let an agent without followers verify its entry

An agent whose entry was lost before any balancer had read it stayed out of the list for good: balancers read changes up to 0.6 s late, and only a balancer that had listed the agent can miss it. Found by the new test of processes, whose first form removed the entries within that time: one of two agents was never listed (BBF0759 named the other one only).

The agent has no followers then.

--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -24,6 +24,8 @@
 # Conditions are usually met in a tenth of this; a busy machine is slower.
 TIMEOUT_SECONDS = 20
 POLL_SECONDS = 0.05
+# A running agent is listed again within this time.
+LISTED_SECONDS = 2.0
 # Network of the sites whose balancers exchange copies.
 COPIES_NET = 5
 
@@ -61,6 +63,18 @@
     await asyncio.gather(*waits)
 
 
+async def wait_until_agents_listed(site, *balancers):
+    """Wait until balancers list the agents of both upstreams."""
+
+    async def are_listed():  # noqa: WPS430
+        pages = await asyncio.gather(
+            *(site.metrics(child.host) for child in balancers)
+        )
+        return all('agents_listed 2\n' in page for page in pages)
+
+    await wait_until(are_listed)
+
+
 async def restart_processes(site):
     await asyncio.gather(
         *(child.wait() for child in (*site.balancers, *site.agents))
@@ -288,6 +302,31 @@
     asyncio.run(scenario())
 
 
+# Guards against open flows that are reset, or get no answer for good, once the
+# store lacks the entry of a running agent.
+def test_flow_survives_the_loss_of_all_entries(tmp_path):
+    async def scenario():
+        async with run_site(tmp_path) as site:
+            kind = 'bluebellfold-agents'
+            await wait_until_agents_listed(site, *site.balancers)
+            flow = await open_with_retries(site.client(balancer_index=0))
+            first = await flow.send_request(b'one')
+            names = site.store.names(kind)
+            for name in names:
+                revision = site.store.read(kind, name)['meta']['Revision']
+                site.store.delete(kind, name, revision=revision)
+            # A balancer that doesn't have the flow in its cache.
+            site.balancers[0] = site.balancers[1]
+            await site.balancers[1].wait_for_log('BBF0759')
+            second = await flow.send_request(b'two')
+            assert second == first.replace(b'one', b'two')
+            async with asyncio.timeout(LISTED_SECONDS):
+                while site.store.names(kind) != names:
+                    await asyncio.sleep(POLL_SECONDS)
+
+    asyncio.run(scenario())
+
+
 def test_malformed_input_stops_no_process_and_log_lines_are_json(tmp_path):
     async def scenario():
         async with run_site(tmp_path) as site:
--- a/bluebellfold/relay/upstreams/relay.py
+++ b/bluebellfold/relay/upstreams/relay.py
@@ -24,6 +24,7 @@
 from bluebellfold.relay.upstreams.forwarding import Forwarder
 from bluebellfold.relay.upstreams.health import UpstreamHealth
 from bluebellfold.relay.upstreams.load_reporter import LoadReporter
+from bluebellfold.relay.upstreams.missing_followers import MissingFollowers
 from bluebellfold.relay.upstreams.performance import (
     HUNG_REQUEST_SECONDS,
     Performance,
@@ -56,6 +57,7 @@
         '_forwarder',
         '_health',
         '_journal',
+        '_missing_followers',
         '_performance',
         '_reporter',
         '_silence',
@@ -83,6 +85,7 @@
         self._health = health
         self._journal = journal
         self._flows = FlowTable()
+        self._missing_followers = MissingFollowers(now=now)
         self._performance = Performance(now=now)
         self._reporter = LoadReporter(
             zone=zone,
@@ -256,6 +259,8 @@
             self._reporter.report_state_change(now)
         if now >= self._reporter.report_due:
             self._reporter.report(now)
+        if self._missing_followers.detect_check_due(self.balancer_count, now):
+            self._transport.verify_registration()
         if now >= self._sweep_due:
             self._sweep(now)
 
--- a/bluebellfold/relay/upstreams/tests/test_registration.py
+++ b/bluebellfold/relay/upstreams/tests/test_registration.py
@@ -5,6 +5,7 @@
 from bluebellfold.core import Actor, Reply
 from bluebellfold.relay.store import DeregisterAgent, RegisterAgent
 from bluebellfold.relay.tests.harness import (
+    Agent,
     announcement_of,
     encode_and_decode,
     subscribe_of,
@@ -14,6 +15,7 @@
     ApplyAnnouncement,
     ApplyDeregistration,
 )
+from bluebellfold.relay.upstreams.missing_followers import FIRST_CHECK_SECONDS
 from bluebellfold.relay.upstreams.tests.harness import (
     BALANCER,
     agent_with_balancer,
@@ -86,6 +88,18 @@
     assert told == ['verify']
 
 
+# Guards against an agent that stays out of the list for good: its entry was
+# lost before any balancer had read it, so that none missed it.
+def test_agent_without_followers_has_its_entry_verified():
+    agent = Agent()
+    agent.advance(FIRST_CHECK_SECONDS)
+    assert agent.transport.verifications == 1
+    agent.receive_message(BALANCER, encode_and_decode(subscribe_of()))
+    agent.advance(1)
+    agent.advance(FIRST_CHECK_SECONDS / 2)
+    assert agent.transport.verifications == 1
+
+
 def test_late_deregistration_of_another_upstream_changes_nothing():
     told = told_after((announce, 'b'), (deregister, 'a'), (announce, 'b'))
     assert told == [RegisterAgent]
