--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -312,9 +312,9 @@
             flow = await open_with_retries(site.client(balancer_index=0))
             first = await flow.send_request(b'one')
             names = site.store.names(kind)
-            for name in names:
-                revision = site.store.read(kind, name)['meta']['Revision']
-                site.store.delete(kind, name, revision=revision)
+            for stored in site.store.list_kind(kind):
+                meta = stored['meta']
+                site.store.delete(kind, meta['Name'], revision=meta['Revision'])
             # A balancer that doesn't have the flow in its cache.
             site.balancers[0] = site.balancers[1]
             await site.balancers[1].wait_for_log('BBF0759')
