Delete the entry of an agent that stops while it registers again

An agent that had been removed once skipped the deletion at its stop, also while it was writing its entry for the next upstream. If the response to that write was lost, the entry stayed, and lookups of lost flows waited for an agent that was gone. The mark is now cleared with each new wish. test_agent_that_stops_while_it_registers_again_is_removed failed before.

--- a/bluebellfold/relay/store/registrar.py
+++ b/bluebellfold/relay/store/registrar.py
@@ -60,7 +60,7 @@
         self._is_wanted: bool | None = None
         self._is_registered = False
         self._is_removed = False
-        # That of the object as written or deleted last.
+        # The revision of the object as written or deleted last.
         self._revision = 0
         # A creation without a response may be executed after the deletion.
         self._may_reappear = False
@@ -123,6 +123,7 @@
             self.supervise(self._update_store, name='register')
         self._is_wanted = wanted
         self._is_registered = False
+        self._is_removed = False
         self._registrations += wanted
         self._wish_changed.set()
 
--- a/bluebellfold/relay/store/tests/test_registrar.py
+++ b/bluebellfold/relay/store/tests/test_registrar.py
@@ -27,6 +27,12 @@
             await asyncio.sleep(0.01)
 
 
+async def wait_until_listed(standin, *, listed):
+    async with asyncio.timeout(5):
+        while bool(standin.store.names(AGENTS_KIND)) is not listed:
+            await asyncio.sleep(0)
+
+
 # Guards against open flows that are reset or get no answer for good: the
 # deletion by the previous start was executed late, after this start had taken
 # the entry for its own, and nothing wrote the entry again.
@@ -122,9 +128,7 @@
         registrar, running = start_registrar(standin, FIRST)
         await wait_for_registration(registrar)
         registrar.tell(DeregisterAgent())
-        async with asyncio.timeout(5):
-            while standin.store.names(AGENTS_KIND):
-                await asyncio.sleep(0.01)
+        await wait_until_listed(standin, listed=False)
         await asyncio.sleep(0.05)
         await standin.execute_held()
         assert standin.store.names(AGENTS_KIND)
@@ -149,9 +153,7 @@
         await wait_for_registration(registrar)
         remove_entry(standin)
         registrar.tell(VerifyRegistration())
-        async with asyncio.timeout(5):
-            while not standin.store.names(AGENTS_KIND):
-                await asyncio.sleep(0.01)
+        await wait_until_listed(standin, listed=True)
         await stop(registrar, running)
 
     asyncio.run(run_watched(scenario))
@@ -186,3 +188,25 @@
         await stop(registrar, running)
 
     asyncio.run(run_watched(scenario))
+
+
+# Guards against the entry of an agent that is gone: an agent that had been
+# removed once deleted nothing at its stop, though it was registering again.
+def test_agent_that_stops_while_it_registers_again_is_removed():
+    async def scenario(standin, _):
+        registrar, running = start_registrar(standin, FIRST)
+        await wait_for_registration(registrar)
+        registrar.tell(DeregisterAgent())
+        await wait_until_listed(standin, listed=False)
+        await asyncio.sleep(0.05)
+        stored = standin.store.put(AGENTS_KIND, FIRST[0], {})
+        standin.inject(lose_answers=1)
+        registrar.tell(RegisterAgent())
+        async with asyncio.timeout(5):
+            while standin.store.read(AGENTS_KIND, FIRST[0]) == stored:
+                await asyncio.sleep(0)
+        await stop(registrar, running)
+        await registrar.deregister()
+        assert not standin.store.names(AGENTS_KIND)
+
+    asyncio.run(run_watched(scenario))
