--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -421,7 +421,13 @@
 # change of it that the copy undoes.
 def test_answer_of_the_store_replaces_the_copy(tmp_path):
     async def scenario():
-        async with run_site_with_refused_balancer(tmp_path) as (site, child):
+        async with run_site_with_refused_balancer(tmp_path) as (site, early):
+            # A copy that was taken earlier may lack an agent.
+            await wait_until_agents_listed(site, site.balancers[0])
+            early.kill()
+            await early.wait()
+            child = await site.start_balancer(early.host)
+            site.balancers[1] = child
             flow = await open_with_retries(site.client(balancer_index=1))
             site.store.put('config', 'main', make_configuration(5, SERVICE[1]))
             site.refusing.inject(refuse=False)
