Keep an unlisted agent that reports open flows of a down upstream

A deregistration of an earlier start under the same name may arrive late. The agent then counts the running upstream as gone and deletes its entry, until the second later announcement.

An agent that reports open flows is kept, whatever the state of its upstream.

test_flow_survives_a_late_deregistration, with processes, and test_agent_with_open_flows_is_kept_though_its_upstream_is_down failed before.

--- a/bluebellfold/daemons/tests/test_relay_processes.py
+++ b/bluebellfold/daemons/tests/test_relay_processes.py
@@ -317,7 +317,8 @@
                 site.store.delete(kind, meta['Name'], revision=meta['Revision'])
             # A balancer that doesn't have the flow in its cache.
             site.balancers[0] = site.balancers[1]
-            await site.balancers[1].wait_for_log('BBF0759')
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                await site.balancers[1].wait_for_log('BBF0759')
             second = await flow.send_request(b'two')
             assert second == first.replace(b'one', b'two')
             async with asyncio.timeout(LISTED_SECONDS):
@@ -327,6 +328,26 @@
     asyncio.run(scenario())
 
 
+# Guards against open flows that are reset: a deregistration of an earlier start
+# arrives late, and nothing tells it from one of the running upstream.
+def test_flow_survives_a_late_deregistration(tmp_path):
+    async def scenario():
+        async with run_site(tmp_path, announcing=False) as site:
+            await wait_until_agents_listed(site, *site.balancers)
+            flow = await open_with_retries(site.client(balancer_index=0))
+            first = await flow.send_request(b'one')
+            index = int(first.removesuffix(b':one')[-1:])
+            await site.deregister(index)
+            # A balancer that doesn't have the flow in its cache.
+            site.balancers[0] = site.balancers[1]
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                await site.balancers[1].wait_for_log('BBF0759')
+            second = await flow.send_request(b'two')
+            assert second == first.replace(b'one', b'two')
+
+    asyncio.run(scenario())
+
+
 def test_malformed_input_stops_no_process_and_log_lines_are_json(tmp_path):
     async def scenario():
         async with run_site(tmp_path) as site:
--- a/bluebellfold/relay/callers/tests/test_unlisted_agents.py
+++ b/bluebellfold/relay/callers/tests/test_unlisted_agents.py
@@ -28,11 +28,10 @@
 REPORT_SECONDS = 0.2
 
 
-def lose_entry(*, state=None):
+def lose_entry(**load):
     """Return a balancer whose list lacks the running FIRST."""
     balancer = balancer_with(report_of(), report_of(in_flight=1))
-    if state is not None:
-        balancer.receive_message(FIRST, report_of(sequence=2, state=state))
+    balancer.receive_message(FIRST, report_of(sequence=2, **load))
     balancer.list_agents((SECOND,))
     return balancer
 
@@ -105,6 +104,16 @@
     assert balancer.relay.agent_table.find(FIRST) is None
 
 
+# Guards against resets of living flows: a deregistration of an earlier start
+# arrived late, and the agent deleted the entry of the running upstream.
+def test_agent_with_open_flows_is_kept_though_its_upstream_is_down():
+    balancer = lose_entry(state=DOWN, flows=1)
+    assert balancer.relay.agent_table.find(FIRST) is not None
+    balancer.receive_message(FIRST, report_of(sequence=3, state=DOWN))
+    balancer.advance(0.1)
+    assert balancer.relay.agent_table.find(FIRST) is None
+
+
 def test_agent_that_falls_silent_leaves():
     balancer = lose_entry(state=DRAINING)
     assert balancer.relay.agent_table.find(FIRST) is not None
--- a/bluebellfold/relay/callers/unlisted_agents.py
+++ b/bluebellfold/relay/callers/unlisted_agents.py
@@ -84,7 +84,9 @@
 
 def _is_running(view: AgentView, now: float) -> bool:
     # An upstream that has deregistered is reported as down before the entry is
-    # deleted.
-    if view.load is not None and view.load.state == DOWN:
+    # deleted. With open flows it may be another start that goes on, since a
+    # deregistration may arrive late.
+    load = view.load
+    if load is not None and load.state == DOWN and not load.flows:
         return False
     return view.silent_seconds(now) <= SILENCE_SECONDS
