--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -375,7 +375,7 @@
 register(
     number='BBF0760',
     level=logging.WARNING,
-    meaning='a balancer misses the entry of this agent in the list; it is read',
+    meaning='the list may lack this agent; it reads its entry in the store',
     remedy='check who removed its entry, or whether the store lost writes',
 )
 register(
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -247,7 +247,7 @@
         It has all agents as of the store's revision ``as_of``, also if the
         agent that was written last has left since. Changes become known after
         ``next_read_seconds``. That of a balancer (``peer``) counts only before
-        the store answers.
+        the store answers. Agents that run though it lacks them are kept.
         """
         if not self._sources.agents.accepts(peer):
             return
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -83,7 +83,7 @@
 
 
 class VerifyRegistration(Message):
-    """Write the entry again if it is missing: a balancer doesn't find it."""
+    """Write the entry again if it is missing: the list may lack the agent."""
 
     __slots__ = ()
 
