Test earlier writes that are executed while an agent registers

A deletion, a creation and a replacement by the previous start are executed before each of the calls that register the next one, and after them.

--- a/bluebellfold/relay/store/tests/test_registrar.py
+++ b/bluebellfold/relay/store/tests/test_registrar.py
@@ -120,6 +120,52 @@
     asyncio.run(run_watched(scenario))
 
 
+async def hold_write(standin, method):
+    """Let a start of the agent end while the store holds a write of it."""
+    if method == 'PUT':
+        standin.store.put(AGENTS_KIND, FIRST[0], {})
+    if method == 'DELETE':
+        registrar = await register(standin, FIRST)
+        standin.inject(hold_writes=1)
+        await registrar.deregister()
+        return
+    standin.inject(hold_writes=1)
+    registrar, running = start_registrar(standin, FIRST)
+    async with asyncio.timeout(5):
+        while standin.fault('hold_writes'):
+            await asyncio.sleep(0)
+    await stop(registrar, running)
+
+
+# Guards against agents that get no flows for good, or whose entry is another
+# start's: a write of the previous start is executed before any of the calls
+# that register this one, or after them.
+@pytest.mark.parametrize(
+    ('method', 'position'),
+    tuple(itertools.product(('DELETE', 'POST', 'PUT'), range(4))),
+)
+def test_agent_is_listed_whenever_an_earlier_write_is_executed(
+    monkeypatch, method, position
+):
+    async def scenario(standin, _):
+        await hold_write(standin, method)
+        calls = itertools.count()
+
+        async def execute_at_position():
+            if next(calls) == position:
+                await standin.execute_held()
+
+        monkeypatch.setattr(standin, '_apply_faults', execute_at_position)
+        registrar, running = start_registrar(standin, FIRST, incarnation=2)
+        await wait_for_registration(registrar)
+        await standin.execute_held()
+        stored = standin.store.read(AGENTS_KIND, FIRST[0])
+        assert stored['spec']['registration'] == '2-1'
+        await stop(registrar, running)
+
+    asyncio.run(run_watched(scenario))
+
+
 # Guards against lookups that wait for an agent that is gone: its creation was
 # executed after its deletion, and a removed agent deleted nothing at its stop.
 def test_agent_that_was_created_late_is_removed_at_its_stop():
