Show that an agent unlisted by an outage loses its flows at a planned stop

While the store is down, an agent whose backend was replaced runs without an entry. Balancers keep it and offer it flows, but drop it after 0.7 s of silence, which is less than a planned restart takes, and reset the open flows of its living backend.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -99,8 +99,15 @@
         self._events = []
         self._changed = asyncio.Event()
         self._server = None
+        self._is_busy = False
         self.port = 0
 
+    def set_busy(self, *, busy):
+        """Refuse each call with 503, which also ends the watches."""
+        self._is_busy = busy
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def start(self, host):
         self._server = await asyncio.start_server(self._serve, host, 0)
         self.port = self._server.sockets[0].getsockname()[1]
@@ -162,6 +169,8 @@
         query = {key: each[0] for key, each in parse_qs(split.query).items()}
         parts = [unquote(part) for part in split.path.split('/')[3:]]
         kind, name = parts[0], (parts[1] if len(parts) > 1 else '')
+        if self._is_busy:
+            return 503, {}
         if method == 'GET' and 'Watch' in query:
             return await self._watch(kind, query)
         if method == 'GET' and not name:
@@ -208,6 +217,8 @@
                 if each == kind and revision > after
             ]
             left = ends - time.monotonic()
+            if self._is_busy:
+                return 503, {}
             if events or left <= 0:
                 return 200, {'events': events, 'StoreRevision': self.revision}
             try:
@@ -345,7 +356,8 @@
             self.flows.pop(key)
             return
         if flags & FIN:
-            self._send(key, ACK, flow['isn'] + 1 + flow['sent'], sequence + 1)
+            self._send(key, ACK, flow['isn'] + 2 + flow['sent'], sequence + 1)
+            self.flows.pop(key)
             return
         if not data:
             return
@@ -358,6 +370,9 @@
             flow['sent'] += len(reply)
         start, reply = flow['done'][sequence]
         self._send(key, ACK, start, sequence + len(data), reply)
+        if self.state == 'draining':
+            # A backend that leaves closes each flow after its next response.
+            self._send(key, FIN | ACK, start + len(reply), sequence + len(data))
 
     def _send(self, key, flags, sequence, acknowledged, data=b''):
         dst, dport, src, sport = key
@@ -434,6 +449,7 @@
         self.inbox = asyncio.Queue()
         self.is_open = False
         self.was_reset = False
+        self.has_ended = False
         self._owner = owner
         self._route = route
         self._sequence = random.randrange(2**31)
@@ -472,6 +488,8 @@
                 if answer is None:
                     break
                 head, body = answer
+                if head[9] & FIN:
+                    continue
                 if head[9] & RST and self._is_near(head[2]):
                     self.was_reset = True
                     self._owner.record(
@@ -483,11 +501,25 @@
                     self._acknowledged %= SEQUENCES
                     self._sequence += len(data)
                     self._owner.record(f'port {self.port} gets {body!r}')
+                    await self._answer_end()
                     return body.decode()
             wait = min(wait * 2, 1.6)
         self._owner.record(f'port {self.port}: no response to {text!r}')
         return ''
 
+    def close(self):
+        """End the flow at the requester's side."""
+        self._send(FIN | ACK, self._acknowledged)
+        self.has_ended = True
+
+    async def _answer_end(self):
+        """Close the flow if its backend has closed it."""
+        answer = await self._next(0.02)
+        if answer is not None and answer[0][9] & FIN:
+            self.has_ended = True
+            self._owner.record(f'port {self.port}: closed by its backend')
+            self._send(FIN | ACK, (self._acknowledged + 1) % SEQUENCES)
+
     def _is_near(self, sequence):
         ahead = (sequence - self._acknowledged) % SEQUENCES
         return min(ahead, SEQUENCES - ahead) <= 76_800
@@ -679,6 +711,11 @@
         if self.requesters is not None:
             self.requesters.close()
         self.store.stop()
+        if os.environ.get('LOGS'):
+            # A folder that keeps the settings and logs of the programs.
+            shutil.copytree(
+                self._temporary, os.environ['LOGS'], dirs_exist_ok=True
+            )
         shutil.rmtree(self._temporary, ignore_errors=True)
         self.record.close()
 
