Show that a restarted balancer resets flows of an agent without an entry

While the store refuses the machine of an agent whose backend was replaced, the agent runs unlisted. A balancer that is restarted in planned work reads a list without it, takes the list for complete and resets the open flows of its living backend.

Adds review/13, and gives the stand-in store a port that it refuses.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""SIGHUP just after the start of a program."""
+"""Balancers are restarted in turn while the store refuses one agent."""
 
 import asyncio
 import signal
@@ -10,6 +10,8 @@
 
 from standins_3 import (  # noqa: E402
     BROKEN,
+    DRAIN_S,
+    GRACE_S,
     HELD,
     RESTART_DELAY_S,
     TROUBLE,
@@ -18,49 +20,118 @@
 
 SIDES = 3
 EDGES = 2
-# How often the settings change, each time just after a start.
-CHANGES = 3
-SIGNAL_AFTER_S = 0.05
-# RULES.md, Fault: three times on a tenth of the machines, two at least.
-MAX_ENDS = 2
-MIN_MACHINES = 2
+USERS = 12
+PAUSE_S = 0.3
+REQUESTS_PER_FLOW = 12
+# The longest time for which the site file has the store refuse machines.
+REFUSED_S = 9.0
+# Two misses of the readiness check, which comes twice a second.
+OUT_OF_ROTATION_S = 1.0
+AGENTS = 'bluebellfold-agents'
 
 
 async def case(site):
     await site.begin()
+    site.store_ports[site.side(0)] = await site.store.open_port(
+        f'127.{site.net}.9.1'
+    )
     for each in range(SIDES):
         await site.start_program('agent', each)
+    edges = [
+        await site.start_program('balancer', each) for each in range(EDGES)
+    ]
+    rotation = set(range(EDGES))
     await asyncio.sleep(1.0)
-    for each in range(SIDES):
-        site.add_backend(each, name=f'i-{each}')
-    ends = await asyncio.gather(*(_start(site, each) for each in range(EDGES)))
-    flow = site.requesters.flow(site.through(0))
-    served = await flow.open() and await flow.request('is it served?')
-    site.record(f'ends by themselves, by machine: {ends}; served: {served!r}')
-    if not served:
-        raise RuntimeError('no request was served in the end')
-    machines = sum(count > MAX_ENDS for count in ends)
-    needed = max(MIN_MACHINES, (SIDES + EDGES) / 10)
-    return BROKEN if machines >= needed else HELD
-
-
-async def _start(site, number):
-    """Start a balancer; return how often it ended by itself."""
-    ends = 0
-    edge = await site.start_program('balancer', number)
-    for _ in range(CHANGES):
-        await asyncio.sleep(SIGNAL_AFTER_S)
-        if TROUBLE:
-            site.record(f'{edge.name}: its settings file changed, SIGHUP')
-            edge.signal(signal.SIGHUP)
+    first = [site.add_backend(each, name=f'i-{each}') for each in range(SIDES)]
+    for edge in edges:
+        await site.wait_ready(edge)
+    await asyncio.sleep(2.0)
+    flows, users = [], []
+    for each in range(USERS):
+        users.append(
+            asyncio.create_task(_use(site, each, flows, rotation))
+        )
+        await asyncio.sleep(0.3)
+    await asyncio.sleep(1.0)
+
+    # Planned work: the backend of machine 0 is replaced.
+    first[0].state = 'draining'
+    await first[0].beat()
+    await asyncio.sleep(DRAIN_S + 1.0)
+    status = await first[0].deregister()
+    site.record(f'Deregister of {first[0].name}: {status}')
+    first[0].stop()
+    await asyncio.sleep(0.7)
+    if TROUBLE:
+        site.record('the store refuses machine 0: 503')
+        _refuse(site, refused=True)
+        asyncio.get_running_loop().call_later(
+            REFUSED_S, lambda: _refuse(site, refused=False)
+        )
+    await asyncio.sleep(0.1)
+    second = site.add_backend(0, name='i-9')
+    for each in range(USERS):
+        await asyncio.sleep(0.12)
+        users.append(
+            asyncio.create_task(_use(site, USERS + each, flows, rotation))
+        )
+    held = sum(flow['open'] for flow in second.flows.values())
+    site.record(f'{held} flows are open at {second.name}')
+
+    # Planned work: the entry machines are stopped and started in turn.
+    for number, edge in enumerate(edges):
+        edge.signal(signal.SIGTERM)
+        await asyncio.sleep(OUT_OF_ROTATION_S)
+        rotation.discard(number)
+        code = await edge.wait(GRACE_S)
+        site.record(f'{edge.name} has stopped: {code}')
         await asyncio.sleep(RESTART_DELAY_S)
-        if edge.exit_code is None:
+        edges[number] = await site.start_program('balancer', number)
+        await site.wait_ready(edges[number])
+        rotation.add(number)
+        site.record(f'{edge.name} is ready again')
+    await asyncio.sleep(4.0)
+    for user in users:
+        user.cancel()
+
+    ports = {key[3] for key, flow in second.flows.items() if flow['open']}
+    lost = [flow for flow in flows if flow.was_reset and flow.port in ports]
+    site.record(
+        f'{len(lost)} flows that {second.name} holds open were reset; '
+        f'the store lists {site.store.names(AGENTS)}'
+    )
+    if TROUBLE and not held:
+        raise RuntimeError('no flow opened at the second backend')
+    return BROKEN if lost else HELD
+
+
+def _refuse(site, *, refused):
+    site.record(f'the store refuses machine 0: {refused}')
+    site.store.refuse(site.store_ports[site.side(0)], refused=refused)
+
+
+async def _use(site, number, flows, rotation):
+    """Open flows one after the other, with a request every 0.3 s on each."""
+
+    def route():
+        home = number % EDGES
+        entry = home if home in rotation else min(rotation, default=home)
+        return site.through(entry)()
+
+    count = 0
+    while True:
+        flow = site.requesters.flow(route)
+        if not await flow.open():
+            await asyncio.sleep(0.2)
             continue
-        ends += 1
-        site.record(f'{edge.name} has ended by itself: {edge.exit_code}')
-        edge = await site.start_program('balancer', number)
-    await site.wait_ready(edge)
-    return ends
+        flows.append(flow)
+        while not (flow.was_reset or flow.has_ended):
+            count += 1
+            if not await flow.request(f'request {count} of user {number}'):
+                break
+            await asyncio.sleep(PAUSE_S)
+            if count % REQUESTS_PER_FLOW == 0:
+                flow.close()
 
 
-run_case(FOLDER, 214, case)
+run_case(FOLDER, 215, case)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -98,8 +98,9 @@
         self.objects = {}
         self._events = []
         self._changed = asyncio.Event()
-        self._server = None
+        self._servers = []
         self._is_busy = False
+        self._refused = set()
         self.port = 0
 
     def set_busy(self, *, busy):
@@ -108,13 +109,24 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def refuse(self, port, *, refused):
+        """Refuse the calls to one port with 503, which ends its watches."""
+        (self._refused.add if refused else self._refused.discard)(port)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def start(self, host):
-        self._server = await asyncio.start_server(self._serve, host, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = await self.open_port(host)
+
+    async def open_port(self, host):
+        """Listen on a further port, which one machine may have to itself."""
+        server = await asyncio.start_server(self._serve, host, 0)
+        self._servers.append(server)
+        return server.sockets[0].getsockname()[1]
 
     def stop(self):
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -145,12 +157,13 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
+        port = writer.get_extra_info('sockname')[1]
         try:
             while True:
                 request = await _read_request(reader)
                 if request is None:
                     return
-                status, fields = await self._answer(*request)
+                status, fields = await self._answer(*request, port)
                 body = json.dumps(fields).encode()
                 writer.write(
                     b'HTTP/1.1 %d x\r\nContent-Type: application/json\r\n'
@@ -164,15 +177,15 @@
         finally:
             writer.close()
 
-    async def _answer(self, method, target, body):
+    async def _answer(self, method, target, body, port):
         split = urlsplit(target)
         query = {key: each[0] for key, each in parse_qs(split.query).items()}
         parts = [unquote(part) for part in split.path.split('/')[3:]]
         kind, name = parts[0], (parts[1] if len(parts) > 1 else '')
-        if self._is_busy:
+        if self._refuses(port):
             return 503, {}
         if method == 'GET' and 'Watch' in query:
-            return await self._watch(kind, query)
+            return await self._watch(kind, query, port)
         if method == 'GET' and not name:
             items = [
                 self.objects[kind, each]
@@ -207,7 +220,10 @@
         self._add_event(kind, stored, deleted=True)
         return 200, stored
 
-    async def _watch(self, kind, query):
+    def _refuses(self, port):
+        return self._is_busy or port in self._refused
+
+    async def _watch(self, kind, query, port):
         after = int(query['Watch'])
         ends = time.monotonic() + int(query.get('WaitMs', 0)) / 1000
         while True:
@@ -217,7 +233,7 @@
                 if each == kind and revision > after
             ]
             left = ends - time.monotonic()
-            if self._is_busy:
+            if self._refuses(port):
                 return 503, {}
             if events or left <= 0:
                 return 200, {'events': events, 'StoreRevision': self.revision}
@@ -580,6 +596,8 @@
         self.programs = []
         self.backends = []
         self.requesters = None
+        # Store ports of machines that have one to themselves, by host.
+        self.store_ports = {}
         self._deploy = tomllib.loads(
             (ROOT / 'deploy/system.toml').read_text(encoding='utf-8')
         )
@@ -741,6 +759,7 @@
             probe.close()
 
     def _fields(self, role, number, host):
+        store_port = self.store_ports.get(host, self.store.port)
         fields = {
             'NodeName': f'{role}-{self.zone(number)}-{number + 1}',
             'Ip': host,
@@ -756,7 +775,7 @@
                 'outbound': f'{host}:{self.ports["outbound"]}',
             },
             'Bounds': {},
-            'platform': {'Address': f'127.{self.net}.9.1:{self.store.port}'},
+            'platform': {'Address': f'127.{self.net}.9.1:{store_port}'},
         }
         if role == 'agent':
             fields['app'] = f'{host}:{self.ports["app"]}'
