Show that an evacuation isn't in force after the store's drill

Balancers compare revisions, which go back when the store returns from a copy: the list with a new evacuation counts as older, and new flows go on to the evacuated zone.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -101,8 +101,24 @@
         self._servers = []
         self._is_busy = False
         self._refused = set()
+        self._era = 1
         self.port = 0
 
+    def copy(self):
+        """Return what a drill brings back."""
+        return self.revision, dict(self.objects), list(self._events)
+
+    def restore(self, copied):
+        """Come back from a copy: later writes and revisions are gone."""
+        self.revision, self.objects, self._events = (
+            copied[0],
+            dict(copied[1]),
+            list(copied[2]),
+        )
+        self._era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def set_busy(self, *, busy):
         """Refuse each call with 503, which also ends the watches."""
         self._is_busy = busy
@@ -167,7 +183,8 @@
                 body = json.dumps(fields).encode()
                 writer.write(
                     b'HTTP/1.1 %d x\r\nContent-Type: application/json\r\n'
-                    b'Content-Length: %d\r\n\r\n' % (status, len(body))
+                    b'Store-Era: %d\r\nContent-Length: %d\r\n\r\n'
+                    % (status, self._era, len(body))
                     + body
                 )
                 await writer.drain()
@@ -233,6 +250,9 @@
                 if each == kind and revision > after
             ]
             left = ends - time.monotonic()
+            if after > self.revision:
+                # A revision that this history doesn't have.
+                return 410, {}
             if self._refuses(port):
                 return 503, {}
             if events or left <= 0:
@@ -596,6 +616,8 @@
         self.programs = []
         self.backends = []
         self.requesters = None
+        # The bounds that a template of the settings asks for.
+        self.bounds = {}
         # Store ports of machines that have one to themselves, by host.
         self.store_ports = {}
         self._deploy = tomllib.loads(
@@ -774,7 +796,7 @@
                 'Control': f'{host}:{self.ports["control"]}',
                 'outbound': f'{host}:{self.ports["outbound"]}',
             },
-            'Bounds': {},
+            'Bounds': self.bounds,
             'platform': {'Address': f'127.{self.net}.9.1:{store_port}'},
         }
         if role == 'agent':
