--- a/review/13/case.py
+++ b/review/13/case.py
@@ -118,4 +118,4 @@
         flow.close()
 
 
-run_case(FOLDER, 216, case)
+run_case(FOLDER, case)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -37,7 +37,9 @@
 ZONES = ('wa-south-a', 'wa-south-b', 'wa-south-c')
 REGION = 'wa-south'
 SERVICE = 'huvo11a'
-ROUTE = ('198.18.0.1', 443)
+ROUTE_PORT = 443
+FIRST_NET = 20
+NETS = 200
 
 HEAD = struct.Struct('>IIIIH4sH4sHBB')
 SYN, FIN, ACK, RST, BOUNCED = 32, 16, 8, 4, 2
@@ -439,9 +441,11 @@
 class Requesters:
     """Open flows from one address, as the platform's requesters do."""
 
-    def __init__(self, *, record, host, port):
+    def __init__(self, *, record, host, port, route):
         self.record = record
         self.host = host
+        # The address and port that a route stands for.
+        self.route = route
         self._flows = {}
         self._ports = itertools.count(random.randrange(20_000, 40_000))
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -573,8 +577,8 @@
             SUM,
             self._sequence % SEQUENCES,
             acknowledged,
-            ROUTE[1],
-            socket.inet_aton(ROUTE[0]),
+            self._owner.route[1],
+            socket.inet_aton(self._owner.route[0]),
             self.port,
             socket.inet_aton(self._owner.host),
             len(data),
@@ -612,6 +616,7 @@
         self.record = Record(folder)
         self.store = Store()
         self.net = net
+        self.route = (f'127.{net}.200.1', ROUTE_PORT)
         self.ports = {}
         self.programs = []
         self.backends = []
@@ -644,6 +649,7 @@
             record=self.record,
             host=f'127.{self.net}.64.7',
             port=self.ports['datagram'],
+            route=self.route,
         )
 
     def desired_state(self, version):
@@ -652,8 +658,8 @@
             'Routes': [
                 {
                     'Name': 'r-1',
-                    'Hostname': ROUTE[0],
-                    'PathPrefix': f'/{ROUTE[1]}/',
+                    'Hostname': self.route[0],
+                    'PathPrefix': f'/{self.route[1]}/',
                     'Type': 'idempotent',
                     'TimeoutMs': 3000,
                     'TargetLatencyMs': 225,
@@ -823,9 +829,12 @@
     return re.sub(r'\{\{([^}]+)\}\}', fill, text)
 
 
-def run_case(folder, net, case, *, seconds=110):
+def run_case(folder, case, *, seconds=110):
     """Run ``case(site)``, which returns HELD or BROKEN, and exit with it."""
 
+    # Runs at the same time have networks of their own.
+    net = FIRST_NET + os.getpid() % NETS
+
     async def play():
         site = Site(folder=folder, net=net)
         verdict = NOT_RUN
