--- a/review/13/case.py
+++ b/review/13/case.py
@@ -12,6 +12,7 @@
 from standins_3 import (  # noqa: E402
     BROKEN,
     GRACE_S,
+    HEARTBEAT_S,
     HELD,
     RESTART_DELAY_S,
     TROUBLE,
@@ -25,8 +26,9 @@
 STABLE_WINDOW_S = 5.0
 # The daemons that are restarted, two at a time: a share of a third.
 ROLLED = (0, 1)
-# A watch of the store is renewed within this time.
-RENEWAL_S = 5.2
+# The restarted daemons write their entries with the next heartbeat, and each
+# balancer renews its watch of the store within 5 s after that.
+RENEWAL_S = HEARTBEAT_S + 5.3
 AWAY_S = 0.5
 OBSERVED_S = 6.0
 REQUESTS_PER_S = 10
