--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -378,6 +378,12 @@
     meaning='the list may lack this agent; it reads its entry in the store',
     remedy='check who removed its entry, or whether the store lost writes',
 )
+register(
+    number='BBF0762',
+    level=logging.WARNING,
+    meaning='a list of evacuated zones older than the known one is not used',
+    remedy='none needed for a late one; else compare the revisions',
+)
 register(
     number='BBF0734',
     level=logging.WARNING,
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -281,6 +281,15 @@
         if not source.accepts(peer):
             return
         source.record(peer)
+        known = self._evacuations.revision
+        if revision < known:
+            self._journal.count('evacuations-outdated-list')
+            self._journal.log(
+                'BBF0762',
+                revision=revision,
+                revision_known=known,
+                source=source.name,
+            )
         changed = self._evacuations.update_listed(zones, revision=revision)
         for zone in sorted(changed):
             self._log_evacuation(zone, source=source.name)
