--- a/bluebellfold/collectors/catalogue.py
+++ b/bluebellfold/collectors/catalogue.py
@@ -378,11 +378,29 @@
     meaning='the list may lack this agent; it reads its entry in the store',
     remedy='check who removed its entry, or whether the store lost writes',
 )
+register(
+    number='BBF0761',
+    level=logging.WARNING,
+    meaning='the store came back from a copy that lacks its last writes',
+    remedy='write again what the copy lacks; see docs/OPERATIONS.md',
+)
 register(
     number='BBF0762',
     level=logging.WARNING,
     meaning='a list of evacuated zones older than the known one is not used',
-    remedy='none needed for a late one; else compare the revisions',
+    remedy='none needed for a late one; else compare eras and revisions',
+)
+register(
+    number='BBF0763',
+    level=logging.WARNING,
+    meaning='the store is in a newer era than before, as a watch has read',
+    remedy=NO_REMEDY,
+)
+register(
+    number='BBF0764',
+    level=logging.WARNING,
+    meaning='a response of the store names no era; the known one is assumed',
+    remedy='check the store; it must not lose writes without a new era',
 )
 register(
     number='BBF0734',
--- a/bluebellfold/core/__init__.py
+++ b/bluebellfold/core/__init__.py
@@ -48,6 +48,11 @@
     Service,
     Site,
 )
+from bluebellfold.core.store_position import (
+    NO_ERA,
+    NO_POSITION,
+    StorePosition,
+)
 from bluebellfold.core.tally import Count, Tally
 
 __all__ = (
@@ -72,6 +77,8 @@
     'Message',
     'MissingValueError',
     'MonotonicClock',
+    'NO_ERA',
+    'NO_POSITION',
     'NO_ROUTES',
     'NO_VERSION',
     'Packet',
@@ -94,6 +101,7 @@
     'Share',
     'Site',
     'Stop',
+    'StorePosition',
     'Tally',
     'UnknownEntryError',
     'client_host',
--- a/bluebellfold/core/http_client.py
+++ b/bluebellfold/core/http_client.py
@@ -1,7 +1,9 @@
 """Send single requests to the platform over a persistent connection."""
 
 import asyncio
+from collections.abc import Mapping
 from http import HTTPStatus
+from types import MappingProxyType
 
 import h11
 
@@ -13,6 +15,8 @@
 from bluebellfold.core.record import Record, read_only
 from bluebellfold.core.site import Endpoint
 
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
+
 
 class ClientRequest(Record):
     """Describe one HTTP request."""
@@ -36,16 +40,27 @@
 
 
 class ClientResponse(Record):
-    """Carry the status and the complete body of an HTTP response."""
+    """Carry the status, headers and complete body of an HTTP response.
+
+    The names of the headers are in lower case.
+    """
 
-    __slots__ = ('_body', '_status')
+    __slots__ = ('_body', '_headers', '_status')
 
     body: bytes = read_only('_body')
+    headers: Mapping[str, str] = read_only('_headers')
     status: int = read_only('_status')
 
-    def __init__(self, *, status: int, body: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        status: int,
+        body: bytes,
+        headers: Mapping[str, str] = NO_HEADERS,
+    ) -> None:
         self._status = status
         self._body = body
+        self._headers = headers
 
 
 class HttpClient:
@@ -146,6 +161,7 @@
     connection: HttpConnection, max_body_bytes: int | None
 ) -> ClientResponse:
     status = 0
+    headers = NO_HEADERS
     body = bytearray()
     event = await connection.receive()
     while not isinstance(event, h11.EndOfMessage):
@@ -153,11 +169,20 @@
             raise ConnectionResetError('the connection was closed')
         if isinstance(event, h11.Response):
             status = event.status_code
+            headers = _decode_headers(event)
         if isinstance(event, h11.Data):
             body += event.data
             _check_size(body, max_body_bytes)
         event = await connection.receive()
-    return ClientResponse(status=status, body=bytes(body))
+    return ClientResponse(status=status, body=bytes(body), headers=headers)
+
+
+def _decode_headers(response: h11.Response) -> Mapping[str, str]:
+    # HTTP allows any byte in the text of a header.
+    return {
+        name.decode('latin-1'): text.decode('latin-1')
+        for name, text in response.headers
+    }
 
 
 def _check_size(body: bytearray, max_body_bytes: int | None) -> None:
--- a/bluebellfold/operators/tests/test_relay_status.py
+++ b/bluebellfold/operators/tests/test_relay_status.py
@@ -15,7 +15,12 @@
 
 ANY_PORT = Endpoint(host='127.0.0.1', port=0)
 BALANCER = {'configuration-version': 17, 'agents-listed': 3, 'flows': 5}
-AGENT = {'balancers': 2, 'newest-configuration-version': 17, 'flows': 4}
+AGENT = {
+    'balancers': 2,
+    'newest-configuration-version': 17,
+    'store-era': 3,
+    'flows': 4,
+}
 
 
 async def always_ready():
@@ -78,7 +83,7 @@
     shown = capsys.readouterr()
     rows = [line.split() for line in shown.out.splitlines()]
     assert [endpoints[0], '17', '3'] in [row[:3] for row in rows]
-    assert [endpoints[1], '17', '-', '2', '-', '4', '-', '-'] in rows
+    assert [endpoints[1], '17', '-', '2', '-', '3', '4', '-', '-'] in rows
     assert rows[-1] == '2 answered, 0 flagged, 0 silent'.split()
     assert not shown.err
 
--- a/bluebellfold/platform/__init__.py
+++ b/bluebellfold/platform/__init__.py
@@ -55,6 +55,7 @@
     UNREADABLE_CONFIGURATION,
     decode_routing,
 )
+from bluebellfold.platform.store_era import MAX_ERA
 from bluebellfold.platform.stored_object import (
     Change,
     Changes,
@@ -78,6 +79,7 @@
     'Changes',
     'HISTORY_GONE',
     'MALFORMED',
+    'MAX_ERA',
     'MISSING_OBJECT',
     'ObjectStoreClient',
     'REVISION_CONFLICT',
--- a/bluebellfold/platform/objects.py
+++ b/bluebellfold/platform/objects.py
@@ -7,11 +7,14 @@
 from urllib.parse import quote, urlencode
 
 from bluebellfold.core import (
+    NO_ERA,
+    NO_POSITION,
     Endpoint,
     PlatformError,
     PlatformResponseError,
     PlatformUnavailableError,
     Sentinel,
+    StorePosition,
 )
 from bluebellfold.core.http_client import (
     ClientRequest,
@@ -23,6 +26,7 @@
     is_text,
     read_json,
 )
+from bluebellfold.platform.store_era import decode_era
 from bluebellfold.platform.stored_object import Change, Changes, StoredObject
 
 OBJECTS_PATH = '/bluebellfold/objects'
@@ -51,7 +55,8 @@
 class ObjectStoreClient:
     """Call the store over one persistent connection, one call at a time.
 
-    The ``timeout_seconds`` of a method overrides that of the client.
+    A position has NO_ERA if the response names no readable era. The
+    ``timeout_seconds`` of a method overrides that of the client.
     Every method raises PlatformUnavailableError if no response arrived or
     the store rejected the call temporarily, and PlatformResponseError for a
     response that a retry would not change. A write that raised may still
@@ -72,12 +77,13 @@
     async def list_objects(
         self, kind: str, *, timeout_seconds: float | None = None
     ) -> Changes:
-        """Return all objects of a kind, and the revision of the first page.
+        """Return all objects of a kind, and the position of the first page.
 
-        The first watch from that revision returns changes made between pages.
+        The first watch from there returns changes made between pages. Pages of
+        several eras raise PlatformUnavailableError.
         """
         listed_changes: list[Change] = []
-        first_revision = 0
+        first_position: StorePosition | None = None
         last_name = ''
         has_more = True
         while has_more:
@@ -90,11 +96,16 @@
             listed_changes.extend(
                 Change(stored=stored, deleted=False) for stored in page
             )
-            first_revision = first_revision or _decode_revision(fields)
+            position = _decode_position(response, fields)
+            first_position = first_position or position
+            _check_same_era(first_position, position)
             # A page without a readable name doesn't tell where to go on.
             has_more = bool(fields.get('HasMore')) and bool(page)
             last_name = page[-1].name if page else ''
-        return Changes(changes=tuple(listed_changes), revision=first_revision)
+        return Changes(
+            changes=tuple(listed_changes),
+            position=first_position or NO_POSITION,
+        )
 
     async def watch(
         self,
@@ -120,7 +131,7 @@
         fields = _decode_body(response)
         return Changes(
             changes=tuple(_decode_events(fields.get('events'))),
-            revision=_decode_revision(fields),
+            position=_decode_position(response, fields),
         )
 
     async def read(
@@ -276,13 +287,25 @@
     raise _unusable_response('the response of the store is not a JSON object')
 
 
-def _decode_revision(fields: dict[str, Any]) -> int:
+def _decode_position(
+    response: ClientResponse, fields: dict[str, Any]
+) -> StorePosition:
     revision = fields.get('StoreRevision')
     if is_integer(revision, least=0, most=MAX_REVISION):
-        return revision
+        era = decode_era(response.headers) or NO_ERA
+        return StorePosition(era=era, revision=revision)
     raise _unusable_response('the response of the store has no revision')
 
 
+def _check_same_era(first: StorePosition, later: StorePosition) -> None:
+    if first.era == later.era:
+        return
+    raise PlatformUnavailableError(
+        problem='the store came back from a copy while a kind was listed',
+        remedy='list the kind again',
+    )
+
+
 def _decode_entries(entries: Any) -> Iterator[StoredObject]:
     """Decode the entries that have a name."""
     for entry in entries if isinstance(entries, list) else ():
--- a/bluebellfold/platform/stored_object.py
+++ b/bluebellfold/platform/stored_object.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from bluebellfold.core import Record, read_only
+from bluebellfold.core import Record, StorePosition, read_only
 
 
 class StoredObject(Record):
@@ -34,13 +34,15 @@
 
 
 class Changes(Record):
-    """List changes in order; ``revision`` is where the next watch starts."""
+    """List changes in order; ``position`` is where the next watch starts."""
 
-    __slots__ = ('_changes', '_revision')
+    __slots__ = ('_changes', '_position')
 
     changes: tuple[Change, ...] = read_only('_changes')
-    revision: int = read_only('_revision')
+    position: StorePosition = read_only('_position')
 
-    def __init__(self, *, changes: tuple[Change, ...], revision: int) -> None:
+    def __init__(
+        self, *, changes: tuple[Change, ...], position: StorePosition
+    ) -> None:
         self._changes = changes
-        self._revision = revision
+        self._position = position
--- a/bluebellfold/platform/tests/test_odd_entries.py
+++ b/bluebellfold/platform/tests/test_odd_entries.py
@@ -71,7 +71,7 @@
         body = b'{"items":[%s,%s],"StoreRevision":9}' % (entry, GOOD)
         changes = call('list_objects', body)
         assert names_in(changes)[-1] == 'good'
-        assert changes.revision == 9
+        assert changes.position.revision == 9
 
 
 @odd_parts
--- a/bluebellfold/relay/agents/__init__.py
+++ b/bluebellfold/relay/agents/__init__.py
@@ -69,6 +69,7 @@
     summarise_table,
 )
 from bluebellfold.relay.agents.upstream_work import queue_capacity
+from bluebellfold.relay.agents.zone_states import KnownEra, merge_evacuations
 
 __all__ = (
     'ALL_FULL',
@@ -113,6 +114,7 @@
     'FlowPresumedAbsent',
     'FlowUncertain',
     'ForwardedPacket',
+    'KnownEra',
     'LoadReport',
     'Offer',
     'Outbox',
@@ -124,6 +126,7 @@
     'decode_message',
     'encode_message',
     'hash_evenly',
+    'merge_evacuations',
     'queue_capacity',
     'select_agent',
     'select_subset',
--- a/bluebellfold/relay/agents/agent_load.py
+++ b/bluebellfold/relay/agents/agent_load.py
@@ -1,6 +1,6 @@
 """Describe the load of an agent's upstream, as it is reported."""
 
-from bluebellfold.core import NO_VERSION, Record, read_only
+from bluebellfold.core import NO_POSITION, Record, StorePosition, read_only
 
 # The number of flows that an upstream takes while it is warming up, if the rate
 # of new flows isn't limited.
@@ -10,32 +10,42 @@
 class Evacuation(Record):
     """State whether the zone of an agent is evacuated.
 
-    ``revision`` is that of the store as of which this is known.
+    ``position`` is that of the store as of which this is known. A state that
+    isn't ``is_certain`` rests on a list that may lack a lost evacuation.
     """
 
-    __slots__ = ('_evacuated', '_revision')
+    __slots__ = ('_evacuated', '_is_certain', '_position')
 
     evacuated: bool = read_only('_evacuated')
-    revision: int = read_only('_revision')
+    is_certain: bool = read_only('_is_certain')
+    position: StorePosition = read_only('_position')
 
-    def __init__(self, *, evacuated: bool, revision: int) -> None:
+    def __init__(
+        self,
+        *,
+        evacuated: bool,
+        position: StorePosition,
+        is_certain: bool = False,
+    ) -> None:
         self._evacuated = evacuated
-        self._revision = revision
+        # What the store lists was written in its history.
+        self._is_certain = is_certain or evacuated
+        self._position = position
 
 
-NO_EVACUATION = Evacuation(evacuated=False, revision=NO_VERSION)
+NO_EVACUATION = Evacuation(evacuated=False, position=NO_POSITION)
 
 
 class Versions(Record):
     """Hold the newest known versions of the configuration and agent list.
 
-    ``agents`` is the revision of the list of agents in the store.
+    ``agents`` is the position of the agent that was listed last.
     ``evacuation`` is that of the zone of the agent which gets or sends this.
     """
 
     __slots__ = ('_agents', '_configuration', '_evacuation')
 
-    agents: int = read_only('_agents')
+    agents: StorePosition = read_only('_agents')
     configuration: int = read_only('_configuration')
     evacuation: Evacuation = read_only('_evacuation')
 
@@ -43,13 +53,18 @@
         self,
         *,
         configuration: int,
-        agents: int,
+        agents: StorePosition,
         evacuation: Evacuation = NO_EVACUATION,
     ) -> None:
         self._configuration = configuration
         self._agents = agents
         self._evacuation = evacuation
 
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that the versions are of."""
+        return max(self._agents.era, self._evacuation.position.era)
+
 
 class Warmup(Record):
     """Describe an upstream that is warming up.
--- a/bluebellfold/relay/agents/codec.py
+++ b/bluebellfold/relay/agents/codec.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from bluebellfold.core import Message, Packet, Registry, Sentinel
-from bluebellfold.relay.agents.agent_load import Evacuation, Versions
 from bluebellfold.relay.agents.load_fields import (
     check_range,
     pack_load,
@@ -27,16 +26,12 @@
     ReturnedPacket,
     Subscribe,
 )
+from bluebellfold.relay.agents.subscribe_fields import (
+    pack_subscribe,
+    unpack_subscribe,
+)
 
-# Idle seconds, offers sent, configuration version, agent list revision, one
-# report only, evacuation revision, evacuated, not in the list of agents, new
-# flows per second while warming up.
-_SUBSCRIBE_FIELDS = struct.Struct('>fIqq?q??f')
-_MAX_COUNTER = 0xFFFFFFFF
 _MAX_SHORT = 0xFFFF
-# Bounds of durations in messages.
-_MAX_SECONDS = 86_400.0
-_MAX_FLOWS_PER_SECOND = 1_000_000.0
 FLOW_KEY_BYTES = 12
 # Flow key, acknowledgement number.
 _LOOKUP_FIELDS = struct.Struct('>12sI')
@@ -122,10 +117,13 @@
 _OFFER_HEAD_BYTES = 3
 _MAX_BYTE = 0xFF
 _DECLINED = 5
-_SUBSCRIBE = 7
-_LOAD_REPORT = 8
+# Messages of earlier releases, which read no era of the store.
+_SUBSCRIBE_WITHOUT_ERA = 7
+_LOAD_REPORT_WITHOUT_ERA = 8
 _OWNER = 11
 _PRESUMED_ABSENT = 12
+_SUBSCRIBE = 13
+_LOAD_REPORT = 14
 # Type number, followers of the agent.
 _REPORT_HEAD = struct.Struct('>BH')
 
@@ -190,38 +188,14 @@
 
 @ENCODERS.add(Subscribe)
 def _encode_subscribe(message: Subscribe) -> bytes:
-    sent = message.offers_sent & _MAX_COUNTER
-    numbers = _SUBSCRIBE_FIELDS.pack(
-        message.idle_seconds,
-        sent,
-        message.versions.configuration,
-        message.versions.agents,
-        message.once,
-        message.versions.evacuation.revision,
-        message.versions.evacuation.evacuated,
-        message.is_unlisted,
-        message.warmup_flows_per_second,
-    )
-    return bytes((_SUBSCRIBE,)) + numbers
+    return bytes((_SUBSCRIBE,)) + pack_subscribe(message)
 
 
 @DECODERS.add(_SUBSCRIBE)
+@DECODERS.add(_SUBSCRIBE_WITHOUT_ERA)
 def _decode_subscribe(datagram: bytes, _: PacketReader) -> Any:
-    numbers = _SUBSCRIBE_FIELDS.unpack(datagram[1:])
-    check_range(numbers[0], least=0, most=_MAX_SECONDS)
-    check_range(numbers[-1], least=0, most=_MAX_FLOWS_PER_SECOND)
-    return Subscribe(
-        idle_seconds=numbers[0],
-        offers_sent=numbers[1],
-        versions=Versions(
-            configuration=numbers[2],
-            agents=numbers[3],
-            evacuation=Evacuation(revision=numbers[5], evacuated=numbers[6]),
-        ),
-        once=numbers[4],
-        is_unlisted=numbers[7],
-        warmup_flows_per_second=numbers[-1],
-    )
+    has_eras = datagram[0] == _SUBSCRIBE
+    return unpack_subscribe(datagram[1:], has_eras=has_eras)
 
 
 @ENCODERS.add(FlowOwner)
@@ -247,7 +221,10 @@
 
 
 @DECODERS.add(_LOAD_REPORT)
+@DECODERS.add(_LOAD_REPORT_WITHOUT_ERA)
 def _decode_report(datagram: bytes, _: PacketReader) -> Any:
-    _, followers = _REPORT_HEAD.unpack(datagram[: _REPORT_HEAD.size])
-    load = unpack_load(datagram[_REPORT_HEAD.size :])
+    type_number, followers = _REPORT_HEAD.unpack(datagram[: _REPORT_HEAD.size])
+    load = unpack_load(
+        datagram[_REPORT_HEAD.size :], has_eras=type_number == _LOAD_REPORT
+    )
     return LoadReport(load=load, followers=followers)
--- a/bluebellfold/relay/agents/load_fields.py
+++ b/bluebellfold/relay/agents/load_fields.py
@@ -3,6 +3,7 @@
 import struct
 from math import inf
 
+from bluebellfold.core import NO_ERA, StorePosition
 from bluebellfold.relay.agents.agent_load import (
     NO_FLOW_LIMIT,
     AgentLoad,
@@ -16,14 +17,19 @@
 # Incarnation, sequence, offers seen, state, warming up, slots, requests
 # in flight, flows, configuration version, agent list revision, mean work
 # seconds, failure share, evacuation revision, evacuated, new flows per second,
-# bound on the relative error of the mean work.
+# bound on the relative error of the mean work; then the eras of the agent list
+# revision and of the evacuation revision, and whether that state is certain.
 # The field for the warm-up is 0 if there is none, else one more than the flows
 # that are left.
-_LOAD_FIELDS = struct.Struct('>QIIBBHHIqqffq?ff')
+_LOAD_FIELDS = struct.Struct('>QIIBBHHIqqffq?ffII?')
+# Earlier releases, which read no era, end before the eras.
+_LOAD_FIELDS_WITHOUT_ERA = struct.Struct('>QIIBBHHIqqffq?ff')
+_NO_ERA_FIELDS = (NO_ERA, NO_ERA, False)
 # Position of the failure share among them.
 _FAILURE_SHARE = 11
-# Position of the evacuation revision, after which fields were appended.
+# Positions of the evacuation revision and of the fields from the eras on.
 _EVACUATION_REVISION = 12
+_ERAS = 16
 _MAX_COUNTER = 0xFFFFFFFF
 _MAX_SHORT = 0xFFFF
 _MAX_WORK_SECONDS = 86_400.0
@@ -49,25 +55,32 @@
         min(load.in_flight, _MAX_SHORT),
         load.flows,
         load.versions.configuration,
-        load.versions.agents,
+        load.versions.agents.revision,
         load.request_stats.work_seconds,
         load.request_stats.failure_share,
-        load.versions.evacuation.revision,
+        load.versions.evacuation.position.revision,
         load.versions.evacuation.evacuated,
         load.request_stats.arrivals_per_second,
         load.request_stats.work_error,
+        load.versions.agents.era,
+        load.versions.evacuation.position.era,
+        load.versions.evacuation.is_certain,
     )
     return b''.join(
         (numbers, bytes((len(service),)), service, load.zone.encode())
     )
 
 
-def unpack_load(packed: bytes) -> AgentLoad:
+def unpack_load(packed: bytes, *, has_eras: bool) -> AgentLoad:
     """Return the load; raise an error of struct, ValueError or IndexError."""
-    numbers_end = _LOAD_FIELDS.size
-    numbers = _LOAD_FIELDS.unpack(packed[:numbers_end])
+    fields = _LOAD_FIELDS if has_eras else _LOAD_FIELDS_WITHOUT_ERA
+    numbers_end = fields.size
+    numbers = fields.unpack(packed[:numbers_end])
+    eras = numbers[_ERAS:] or _NO_ERA_FIELDS
     service_end = numbers_end + 1 + packed[numbers_end]
-    revision, evacuated, arrivals, work_error = numbers[_EVACUATION_REVISION:]
+    revision, evacuated, arrivals, work_error = numbers[
+        _EVACUATION_REVISION:_ERAS
+    ]
     check_range(numbers[3], least=0, most=len(STATE_NAMES) - 1)
     # An upstream without slots would have no load that can be compared.
     check_range(numbers[5], least=1, most=_MAX_SHORT)
@@ -86,8 +99,12 @@
         flows=numbers[7],
         versions=Versions(
             configuration=numbers[8],
-            agents=numbers[9],
-            evacuation=Evacuation(revision=revision, evacuated=evacuated),
+            agents=StorePosition(era=eras[0], revision=numbers[9]),
+            evacuation=Evacuation(
+                evacuated=evacuated,
+                position=StorePosition(era=eras[1], revision=revision),
+                is_certain=eras[2],
+            ),
         ),
         request_stats=RequestStats(
             work_seconds=numbers[10],
--- a/bluebellfold/relay/agents/tests/test_codec.py
+++ b/bluebellfold/relay/agents/tests/test_codec.py
@@ -6,13 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bluebellfold.core import Message, Sentinel
+from bluebellfold.core import NO_ERA, NO_POSITION, Message, Sentinel
 from bluebellfold.platform import decode_client_packet
 from bluebellfold.relay.agents import (
     NO_FLOW_LIMIT,
     UNREADABLE_MESSAGE,
     Declined,
-    Evacuation,
     FlowFound,
     FlowLookup,
     FlowNotFound,
@@ -20,6 +19,7 @@
     FlowPresumedAbsent,
     FlowUncertain,
     ForwardedPacket,
+    LoadReport,
     Offer,
     RequestStats,
     ReturnedPacket,
@@ -27,11 +27,19 @@
     Versions,
     Warmup,
     decode_message,
+    encode_message,
+)
+from bluebellfold.relay.tests.harness import (
+    encode_and_decode,
+    evacuation_of,
+    position_of,
+    report_of,
 )
-from bluebellfold.relay.tests.harness import encode_and_decode, report_of
 from bluebellfold.standins.packets import client_packet, opening_packet
 
 PACKET = client_packet(flags=8, payload=b'x' * 1200)
+# Two eras, and whether the state of the zone is certain.
+ERA_BYTES = 9
 
 
 @pytest.mark.parametrize(
@@ -53,8 +61,8 @@
             offers_sent=7,
             versions=Versions(
                 configuration=12,
-                agents=3,
-                evacuation=Evacuation(evacuated=True, revision=9),
+                agents=position_of(3),
+                evacuation=evacuation_of(era=4, revision=9),
             ),
             is_unlisted=True,
             warmup_flows_per_second=2.5,
@@ -73,8 +81,8 @@
             ),
             versions=Versions(
                 configuration=-1,
-                agents=-1,
-                evacuation=Evacuation(evacuated=True, revision=9),
+                agents=NO_POSITION,
+                evacuation=evacuation_of(evacuated=False, is_certain=True),
             ),
         ),
     ],
@@ -105,7 +113,7 @@
         Subscribe(
             idle_seconds=inf,
             offers_sent=7,
-            versions=Versions(configuration=12, agents=3),
+            versions=Versions(configuration=12, agents=position_of(3)),
         ),
     ],
     ids=range(8),
@@ -115,6 +123,36 @@
     assert encode_and_decode(message) is UNREADABLE_MESSAGE
 
 
+def versions_in(message):
+    if isinstance(message, LoadReport):
+        return message.load.versions
+    assert isinstance(message, Subscribe)
+    return message.versions
+
+
+# Guards against an upgrade during which agents and balancers of both releases
+# can't read each other: an earlier one sends no eras.
+def test_message_of_an_earlier_release_tells_no_era():
+    versions = Versions(
+        configuration=12,
+        agents=position_of(3),
+        evacuation=evacuation_of(revision=9),
+    )
+    subscribe = encode_message(
+        Subscribe(idle_seconds=15, offers_sent=7, versions=versions)
+    )
+    report = encode_message(report_of(versions=versions))
+    strings = len('counter') + len('a') + 1
+    for earlier in (
+        b'\x07' + subscribe[1:-ERA_BYTES],
+        b'\x08' + report[1 : -strings - ERA_BYTES] + report[-strings:],
+    ):
+        decoded = decode_message(earlier, read_packet=decode_client_packet)
+        told = versions_in(decoded)
+        assert told.agents == position_of(3, era=NO_ERA)
+        assert told.evacuation == evacuation_of(era=NO_ERA, revision=9)
+
+
 @given(st.binary(max_size=200))
 def test_any_datagram_decodes_without_an_exception(datagram):
     decoded = decode_message(
--- a/bluebellfold/relay/balancers/copies/actor.py
+++ b/bluebellfold/relay/balancers/copies/actor.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from bluebellfold.core import (
+    NO_POSITION,
     Actor,
     Clock,
     Endpoint,
@@ -14,6 +15,7 @@
     PlatformError,
     Registry,
     Reply,
+    StorePosition,
 )
 from bluebellfold.core.http_client import ClientRequest, HttpClient
 from bluebellfold.core.http_server import (
@@ -24,7 +26,6 @@
 from bluebellfold.platform import Change
 from bluebellfold.relay.balancers.copies.codec import (
     MAX_BODY_BYTES,
-    NO_REVISION,
     UnusableCopyError,
     decode_copies,
     encode_copies,
@@ -138,7 +139,7 @@
     ) -> None:
         copy = HeldCopy(
             kind=message.kind,
-            revision=message.revision,
+            position=message.position,
             encoded=kept,
             confirmed_at=self._clock.now(),
         )
@@ -149,8 +150,10 @@
             self._journal.log(
                 'BBF0755',
                 kind=copy.kind,
-                revision=copy.revision,
-                revision_before=replaced.revision,
+                era=copy.position.era,
+                era_before=replaced.position.era,
+                revision=copy.position.revision,
+                revision_before=replaced.position.revision,
                 peer=replaced.peer,
             )
 
@@ -159,7 +162,7 @@
         held = self._copies.find(message.kind)
         if held is not None:
             held.confirm(
-                revision=message.revision, confirmed_at=self._clock.now()
+                position=message.position, confirmed_at=self._clock.now()
             )
 
     @reactions.add(DisconnectObjects)
@@ -177,7 +180,7 @@
     @reactions.add(TakeCopies)
     def _take_copies(self, message: TakeCopies) -> None:
         missing = self._copies.missing(self._kinds)
-        held = self._copies.revisions(missing)
+        held = self._copies.positions(missing)
         try:
             # All kinds are decoded first: an odd body is rejected as a whole.
             decoded = [
@@ -199,7 +202,7 @@
         confirmed_at = message.asked_at - copy.age_seconds
         refusal = self._copies.check(
             copy.kind,
-            revision=copy.revision,
+            position=copy.position,
             confirmed_at=confirmed_at,
             now=now,
         )
@@ -218,7 +221,7 @@
         self._copies.hold(
             HeldCopy(
                 kind=copy.kind,
-                revision=copy.revision,
+                position=copy.position,
                 encoded=_encode_copy(copy),
                 confirmed_at=confirmed_at,
                 peer=message.peer,
@@ -229,7 +232,8 @@
             'BBF0753',
             kind=copy.kind,
             peer=message.peer,
-            revision=copy.revision,
+            era=copy.position.era,
+            revision=copy.position.revision,
             objects=len(copy.stored_objects),
             age_ms=round((now - confirmed_at) * MS_PER_SECOND),
         )
@@ -304,9 +308,9 @@
 
 
 def _decode_update(
-    copy: KindCopy, peer: str, held: Mapping[str, int]
+    copy: KindCopy, peer: str, held: Mapping[str, StorePosition]
 ) -> Message | None:
     """Return the update of a copy, None if it isn't newer than the one held."""
-    if copy.revision <= held.get(copy.kind, NO_REVISION):
+    if copy.position <= held.get(copy.kind, NO_POSITION):
         return None
     return COPY_DECODERS.find(copy.kind)(copy, peer)
--- a/bluebellfold/relay/balancers/copies/codec.py
+++ b/bluebellfold/relay/balancers/copies/codec.py
@@ -1,9 +1,10 @@
 """Encode and decode the copies that balancers serve to each other.
 
-The body is a JSON object that maps each kind to its revision, its age and its
-objects as stored. A body with any odd part is rejected as a whole; a kind that
-the receiver doesn't know is no odd part, since a newer release may serve more.
-The objects of a copy that isn't newer than the one held aren't used, nor read.
+The body is a JSON object that maps each kind to its era and revision, its age
+and its objects as stored. Earlier releases tell no era. A body with any odd
+part is rejected as a whole; a kind that the receiver doesn't know is no odd
+part, since a newer release may serve more. The objects of a copy that isn't
+newer than the one held aren't used, nor read.
 """
 
 import json
@@ -11,8 +12,14 @@
 from types import MappingProxyType
 from typing import Any
 
-from bluebellfold.core import BluebellfoldError
+from bluebellfold.core import (
+    NO_ERA,
+    NO_POSITION,
+    BluebellfoldError,
+    StorePosition,
+)
 from bluebellfold.platform import (
+    MAX_ERA,
     StoredObject,
     is_integer,
     is_number,
@@ -28,9 +35,7 @@
 # The greatest configuration that the store takes, and 28,000 agents at 180
 # bytes each; a tenth of a balancer's memory.
 MAX_BODY_BYTES = 8_000_000
-# Below all revisions.
-NO_REVISION = -1
-NONE_HELD: Mapping[str, int] = MappingProxyType({})
+NONE_HELD: Mapping[str, StorePosition] = MappingProxyType({})
 
 
 class UnusableCopyError(BluebellfoldError):
@@ -63,8 +68,12 @@
         b''.join(
             (
                 json.dumps(copy.kind).encode(),
-                b':{"revision":%d,"age_ms":%d,"objects":['
-                % (copy.revision, copy.age_seconds(now) * MS_PER_SECOND),
+                b':{"era":%d,"revision":%d,"age_ms":%d,"objects":['
+                % (
+                    copy.position.era,
+                    copy.position.revision,
+                    copy.age_seconds(now) * MS_PER_SECOND,
+                ),
                 b','.join(copy.encoded_objects),
                 b']}',
             )
@@ -75,11 +84,14 @@
 
 
 def decode_copies(
-    body: bytes, kinds: Iterable[str], *, held: Mapping[str, int] = NONE_HELD
+    body: bytes,
+    kinds: Iterable[str],
+    *,
+    held: Mapping[str, StorePosition] = NONE_HELD,
 ) -> tuple[KindCopy, ...]:
     """Return the copies of the given kinds, or raise UnusableCopyError.
 
-    ``held`` has the revisions of the copies held, by kind. A copy that isn't
+    ``held`` has the positions of the copies held, by kind. A copy that isn't
     newer is returned without its objects.
     """
     fields = read_json(body)
@@ -87,13 +99,15 @@
     if not isinstance(copies, dict):
         raise unusable_copy('the body has no table of kinds')
     return tuple(
-        _decode_copy(kind, copies[kind], held.get(kind, NO_REVISION))
+        _decode_copy(kind, copies[kind], held.get(kind, NO_POSITION))
         for kind in kinds
         if kind in copies
     )
 
 
-def _decode_copy(kind: str, fields: Any, held_revision: int) -> KindCopy:
+def _decode_copy(
+    kind: str, fields: Any, held_position: StorePosition
+) -> KindCopy:
     if not isinstance(fields, dict):
         raise unusable_copy(f'the copy of {kind} is no object')
     age_ms = fields.get('age_ms')
@@ -102,12 +116,15 @@
     entries = fields.get('objects')
     if not isinstance(entries, list):
         raise unusable_copy(f'the copy of {kind} has no list of objects')
-    revision = _decode_revision(kind, fields)
-    if revision <= held_revision:
+    position = StorePosition(
+        era=_decode_era(kind, fields),
+        revision=_decode_revision(kind, fields),
+    )
+    if position <= held_position:
         entries = []
     return KindCopy(
         kind=kind,
-        revision=revision,
+        position=position,
         age_seconds=age_ms / MS_PER_SECOND,
         stored_objects=tuple(_decode_object(kind, entry) for entry in entries),
     )
@@ -125,6 +142,13 @@
     )
 
 
+def _decode_era(kind: str, fields: dict[str, Any]) -> int:
+    era = fields.get('era', NO_ERA)
+    if is_integer(era, least=NO_ERA, most=MAX_ERA):
+        return era
+    raise unusable_copy(f'the era of {kind} is out of range')
+
+
 def _decode_revision(kind: str, fields: dict[str, Any]) -> int:
     revision = fields.get('revision')
     if is_integer(revision, least=0, most=MAX_REVISION):
--- a/bluebellfold/relay/balancers/copies/held_copies.py
+++ b/bluebellfold/relay/balancers/copies/held_copies.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-from bluebellfold.core import Sentinel
+from bluebellfold.core import Sentinel, StorePosition
 
 # Bound of HARD-LOAD.md: a copy that its server last confirmed with the store
 # longer ago is not used.
@@ -25,11 +25,11 @@
 )
 OLDER = Sentinel(
     name='older',
-    reason='a copy as of a newer revision is held',
+    reason='a copy as of a newer position is held',
 )
 KNOWN = Sentinel(
     name='known',
-    reason='a copy as of the same revision is held',
+    reason='a copy as of the same position is held',
 )
 
 
@@ -45,20 +45,20 @@
         '_is_connected',
         '_kind',
         '_peer',
-        '_revision',
+        '_position',
     )
 
     def __init__(
         self,
         *,
         kind: str,
-        revision: int,
+        position: StorePosition,
         encoded: Mapping[str, bytes],
         confirmed_at: float,
         peer: str = '',
     ) -> None:
         self._kind = kind
-        self._revision = revision
+        self._position = position
         self._encoded = dict(encoded)
         self._confirmed_at = confirmed_at
         self._peer = peer
@@ -70,9 +70,9 @@
         return self._kind
 
     @property
-    def revision(self) -> int:
-        """Return the revision of the store as of which the copy is known."""
-        return self._revision
+    def position(self) -> StorePosition:
+        """Return the position of the store as of which the copy is known."""
+        return self._position
 
     @property
     def peer(self) -> str:
@@ -109,9 +109,9 @@
             else:
                 self._encoded[name] = encoded
 
-    def confirm(self, *, revision: int, confirmed_at: float) -> None:
-        """Record that the copy is known as of a revision at that time."""
-        self._revision = max(self._revision, revision)
+    def confirm(self, *, position: StorePosition, confirmed_at: float) -> None:
+        """Record that the copy is known as of a position at that time."""
+        self._position = max(self._position, position)
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         self._is_connected = not self._peer
 
@@ -147,10 +147,10 @@
         """Return the kinds that the store has not answered since the start."""
         return tuple(kind for kind in kinds if not self._is_answered(kind))
 
-    def revisions(self, kinds: Iterable[str]) -> dict[str, int]:
-        """Return the revisions of the copies of kinds that are held."""
+    def positions(self, kinds: Iterable[str]) -> dict[str, StorePosition]:
+        """Return the positions of the copies of kinds that are held."""
         return {
-            kind: self._by_kind[kind].revision
+            kind: self._by_kind[kind].position
             for kind in kinds
             if kind in self._by_kind
         }
@@ -167,7 +167,12 @@
         return replaced
 
     def check(
-        self, kind: str, *, revision: int, confirmed_at: float, now: float
+        self,
+        kind: str,
+        *,
+        position: StorePosition,
+        confirmed_at: float,
+        now: float,
     ) -> Sentinel | None:
         """Return why a balancer's copy is not taken, None if it is.
 
@@ -178,11 +183,11 @@
             return STORE_HAS_ANSWERED
         if now - confirmed_at > MAX_COPY_AGE_SECONDS:
             return EXPIRED
-        if held is None or revision > held.revision:
+        if held is None or position > held.position:
             return None
-        if revision < held.revision:
+        if position < held.position:
             return OLDER
-        held.confirm(revision=revision, confirmed_at=confirmed_at)
+        held.confirm(position=position, confirmed_at=confirmed_at)
         return KNOWN
 
     def _is_answered(self, kind: str) -> bool:
--- a/bluebellfold/relay/balancers/copies/kinds.py
+++ b/bluebellfold/relay/balancers/copies/kinds.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from bluebellfold.core import Message, Registry
+from bluebellfold.core import Message, Registry, StorePosition
 from bluebellfold.platform import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -50,12 +50,13 @@
 def decode_agents(copy: KindCopy, peer: str) -> Message:
     """Return the update of the list of agents.
 
-    Its revision follows from the entries, as in the watch: a greater one would
+    Its position follows from the entries, as in the watch: a greater one would
     make other balancers list the kind in vain.
     """
     entries = tuple(map(_decode_agent, copy.stored_objects))
     newest = max((agent.revision for agent in copy.stored_objects), default=0)
-    return list_agents(entries, revision=newest, peer=peer)
+    position = StorePosition(era=copy.position.era, revision=newest)
+    return list_agents(entries, position=position, peer=peer)
 
 
 @COPY_DECODERS.add(EVACUATIONS_KIND)
@@ -67,7 +68,7 @@
     """
     decoded = map(decode_evacuated_zone, copy.stored_objects)
     zones = frozenset(zone for zone in decoded if isinstance(zone, str))
-    return UpdateEvacuations(zones=zones, revision=copy.revision, peer=peer)
+    return UpdateEvacuations(zones=zones, position=copy.position, peer=peer)
 
 
 def _decode_agent(stored: StoredObject) -> AgentEntry:
--- a/bluebellfold/relay/balancers/copies/tests/test_actor.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_actor.py
@@ -33,6 +33,7 @@
 )
 from bluebellfold.relay.store.tests.test_agents import RecordingActor
 from bluebellfold.relay.tests.harness import journal_of, single
+from bluebellfold.relay.tests.harness import position_of
 from bluebellfold.standins.packets import SERVICE
 from bluebellfold.standins.relay_site import make_configuration
 
@@ -71,14 +72,20 @@
 
 
 def body_of(
-    *, version: Any = 1, revision=5, age_ms=0, agents=(AGENT,), zones=None
+    *,
+    version: Any = 1,
+    revision=5,
+    era=1,
+    age_ms=0,
+    agents=(AGENT,),
+    zones=None,
 ):
     listed = [
         object_of(spec, name=str(index), revision=index + 1)
         for index, spec in enumerate(agents)
     ]
     configuration = make_configuration(version, SERVICE[1])
-    shared = {'revision': revision, 'age_ms': age_ms}
+    shared = {'era': era, 'revision': revision, 'age_ms': age_ms}
     kinds = {
         CONFIG: {**shared, 'objects': [object_of(configuration)]},
         AGENTS_KIND: {**shared, 'objects': listed},
@@ -89,7 +96,7 @@
     return json.dumps({'kinds': kinds}).encode()
 
 
-def report_of(kind, *specs, revision=5, is_complete=True, unreadable=()):
+def report_of(kind, *specs, revision=5, era=1, is_complete=True, unreadable=()):
     changes = tuple(
         Change(
             stored=StoredObject(
@@ -104,12 +111,16 @@
     return ReportObjects(
         kind=kind,
         changes=changes,
-        revision=revision,
+        position=position_of(revision, era=era),
         is_complete=is_complete,
         unreadable=frozenset(unreadable),
     )
 
 
+def confirmation_of(kind, *, revision, era=1):
+    return ConfirmObjects(kind=kind, position=position_of(revision, era=era))
+
+
 def copy_actor(main_actor, *, host=OWN, seeds=SEEDS, clock=None, kinds=KINDS):
     clock = clock or MonotonicClock()
     return CopyActor(
@@ -206,7 +217,7 @@
         async with running(seed) as (_, main_actor):
             routes, agents = await next_updates(main_actor)
         assert (routes.routes.version, routes.peer) == (7, SEEDS[0])
-        assert (agents.revision, agents.peer) == (1, SEEDS[0])
+        assert (agents.position, agents.peer) == (position_of(1), SEEDS[0])
         assert [entry.address[0] for entry in agents.entries] == ['10.0.0.1']
 
     asyncio.run(scenario())
@@ -219,7 +230,7 @@
     body = body_of(revision=40, zones=('a', 'c', ' b'))
     update = single(asyncio.run(take_all(body)))
     assert update == UpdateEvacuations(
-        zones=frozenset('ac'), revision=40, peer=SEEDS[0]
+        zones=frozenset('ac'), position=position_of(40), peer=SEEDS[0]
     )
 
 
@@ -229,6 +240,21 @@
     assert [update.zones for update in updates] == [{'a'}, set()]
 
 
+# Guards against a balancer that starts without the store and keeps a copy from
+# before the store lost its last writes.
+def test_copy_of_a_later_era_is_taken():
+    bodies = [
+        body_of(revision=40, zones='a'),
+        body_of(revision=30, era=2, zones='b'),
+        body_of(revision=41, zones='c'),
+    ]
+    updates = asyncio.run(take_all(*bodies))
+    assert [update.position for update in updates] == [
+        position_of(40),
+        position_of(30, era=2),
+    ]
+
+
 # Guards against an evacuation that ends, or begins again, by a copy that is
 # behind another one, or that no store has confirmed for long.
 @pytest.mark.parametrize(
@@ -257,12 +283,13 @@
     async def scenario():
         async with running(own_seeds=()) as (actor, _):
             actor.tell(report_of(EVACUATIONS_KIND, {}, revision=12))
-            actor.tell(ConfirmObjects(kind=EVACUATIONS_KIND, revision=15))
+            actor.tell(confirmation_of(EVACUATIONS_KIND, revision=15))
             await handled(actor)
             return await read_copies()
 
     assert asyncio.run(scenario()) == {
         EVACUATIONS_KIND: {
+            'era': 1,
             'revision': 15,
             'age_ms': 0,
             'objects': [object_of({}, name='0')],
@@ -348,7 +375,7 @@
             assert_no_update(main_actor)
             held = actor._copies.find(CONFIG)
             assert held
-            assert held.revision == 50
+            assert held.position == position_of(50)
 
     asyncio.run(scenario())
 
@@ -452,7 +479,7 @@
         assert_no_update(main_actor)
         held = actor._copies.find(AGENTS_KIND)
         assert held
-        assert (held.peer, held.revision) == ('', 60)
+        assert (held.peer, held.position) == ('', position_of(60))
 
     caplog.set_level('INFO')
     asyncio.run(scenario())
@@ -516,7 +543,7 @@
                 AGENTS_KIND, None, {**AGENT, 'zone': 'b'}, is_complete=False
             )
             actor.tell(changes)
-            actor.tell(ConfirmObjects(kind=AGENTS_KIND, revision=14))
+            actor.tell(confirmation_of(AGENTS_KIND, revision=14))
             await handled(actor)
             return await read_copies()
 
@@ -524,6 +551,7 @@
     assert kinds[CONFIG]['revision'] == 11
     assert kinds[CONFIG]['objects'][0]['spec'] == make_configuration(3, 80)
     assert kinds[AGENTS_KIND] == {
+        'era': 1,
         'revision': 14,
         'age_ms': 0,
         'objects': [object_of({**AGENT, 'zone': 'b'}, name='1', revision=2)],
--- a/bluebellfold/relay/balancers/copies/tests/test_codec.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_codec.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bluebellfold.core import NO_ERA
 from bluebellfold.platform import StoredObject
 from bluebellfold.relay.balancers.copies.codec import (
     UnusableCopyError,
@@ -15,17 +16,21 @@
 )
 from bluebellfold.relay.balancers.copies.copy_record import KindCopy
 from bluebellfold.relay.balancers.copies.held_copies import HeldCopy
+from bluebellfold.relay.tests.harness import position_of, single
 
 KINDS = ('config', 'agents')
 STORED = StoredObject(name='main', revision=3, spec={'any': [1, 'Ü']})
 OBJECT = {'name': 'main', 'revision': 3, 'spec': {}}
-COPY = {'revision': 5, 'age_ms': 20, 'objects': [OBJECT]}
+COPY = {'era': 1, 'revision': 5, 'age_ms': 20, 'objects': [OBJECT]}
 ODD_COPIES = (
     None,
     [],
     {},
     {**COPY, 'revision': -1},
     {**COPY, 'revision': '5'},
+    {**COPY, 'era': -1},
+    {**COPY, 'era': '1'},
+    {**COPY, 'era': 2**32},
     {**COPY, 'age_ms': -1},
     {**COPY, 'age_ms': None},
     {**COPY, 'objects': {}},
@@ -43,23 +48,36 @@
 def test_copies_are_read_as_they_were_held():
     held = HeldCopy(
         kind='config',
-        revision=5,
+        position=position_of(5),
         encoded={'main': encode_object(STORED)},
         confirmed_at=90,
         peer='10.0.0.2',
     )
-    empty = HeldCopy(kind='agents', revision=7, encoded={}, confirmed_at=0)
+    empty = HeldCopy(
+        kind='agents', position=position_of(7), encoded={}, confirmed_at=0
+    )
     assert decode_copies(encode_copies((held, empty), 102.5), KINDS) == (
         KindCopy(
             kind='config',
-            revision=5,
+            position=position_of(5),
             age_seconds=12.5,
             stored_objects=(STORED,),
         ),
-        KindCopy(kind='agents', revision=7, age_seconds=0, stored_objects=()),
+        KindCopy(
+            kind='agents',
+            position=position_of(7),
+            age_seconds=0,
+            stored_objects=(),
+        ),
     )
 
 
+def test_copy_of_an_earlier_release_tells_no_era():
+    told = {name: COPY[name] for name in COPY if name != 'era'}
+    decoded = single(decode_copies(body_of({'config': told}), KINDS))
+    assert decoded.position == position_of(5, era=NO_ERA)
+
+
 @pytest.mark.parametrize('odd', ODD_COPIES, ids=range(len(ODD_COPIES)))
 def test_body_with_an_odd_copy_is_rejected_as_a_whole(odd):
     with pytest.raises(UnusableCopyError):
--- a/bluebellfold/relay/balancers/copies/tests/test_held_copies.py
+++ b/bluebellfold/relay/balancers/copies/tests/test_held_copies.py
@@ -11,6 +11,7 @@
     HeldCopies,
     HeldCopy,
 )
+from bluebellfold.relay.tests.harness import position_of
 
 KIND = 'config'
 PEER = '10.0.0.2'
@@ -20,7 +21,7 @@
 def copy_of(*, revision=5, peer=PEER, confirmed_at=NOW, **encoded):
     return HeldCopy(
         kind=KIND,
-        revision=revision,
+        position=position_of(revision),
         encoded=encoded,
         confirmed_at=confirmed_at,
         peer=peer,
@@ -33,9 +34,12 @@
     return copies
 
 
-def check(copies, *, revision, confirmed_at=NOW, now=NOW):
+def check(copies, *, revision, era=1, confirmed_at=NOW, now=NOW):
     return copies.check(
-        KIND, revision=revision, confirmed_at=confirmed_at, now=now
+        KIND,
+        position=position_of(revision, era=era),
+        confirmed_at=confirmed_at,
+        now=now,
     )
 
 
@@ -89,7 +93,7 @@
     copy.disconnect(NOW + 60, was_silent=False)
     copy.disconnect(NOW + 70, was_silent=False)
     assert copy.age_seconds(NOW + 75) == 15
-    copy.confirm(revision=6, confirmed_at=NOW + 80)
+    copy.confirm(position=position_of(6), confirmed_at=NOW + 80)
     assert copy.age_seconds(NOW + 90) == 0
 
 
@@ -99,3 +103,20 @@
     copy = copy_of(peer='')
     copy.disconnect(NOW + 29, was_silent=True)
     assert copy.age_seconds(NOW + 29) == 29
+
+
+# Guards against a copy from before the store lost its last writes that is kept
+# as the newer one, or goes before the copy of a balancer that has read since.
+@pytest.mark.parametrize(
+    ('era', 'revision', 'verdict'), [(1, 4, OLDER), (2, 4, None), (2, 9, None)]
+)
+def test_copy_of_a_later_era_is_newer(era, revision, verdict):
+    copies = holding(copy_of(revision=5))
+    assert check(copies, revision=revision, era=era) is verdict
+
+
+def test_confirmation_of_an_earlier_era_does_not_change_the_position():
+    copy = copy_of(peer='')
+    copy.confirm(position=position_of(3, era=2), confirmed_at=NOW)
+    copy.confirm(position=position_of(90), confirmed_at=NOW + 1)
+    assert copy.position == position_of(3, era=2)
--- a/bluebellfold/relay/callers/actor.py
+++ b/bluebellfold/relay/callers/actor.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from bluebellfold.core import (
+    NO_ERA,
     Actor,
     Clock,
     Endpoint,
@@ -29,8 +30,10 @@
 from bluebellfold.relay.callers.home_regions import NO_REGIONS
 from bluebellfold.relay.callers.messages import CheckReadiness, LeaveRotation
 from bluebellfold.relay.callers.relay import ClientRelay
+from bluebellfold.relay.callers.state_sources import STORE
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.store import (
+    LearnEra,
     Relist,
     SetBalancers,
     SetRoutesFresh,
@@ -78,6 +81,7 @@
         self._relist_due = clock.now()
         self._was_ready = False
         self._balancers = 0
+        self._told_era = NO_ERA
         # ``open`` sets the sockets and what writes to them.
         self._client_socket: DatagramSocket
         self._agent_socket: DatagramSocket
@@ -94,19 +98,21 @@
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges by metric name."""
         agents = summarise_table(self._relay.agent_table, self._clock.now())
+        positions = self._relay.positions
         oldest_report_ms = agents.oldest_report_seconds * MS_PER_SECOND
         return {
             'agents-checksum': agents.checksum,
             'agents-followed': agents.followed,
             'agents-listed': agents.listed,
             'agents-live': agents.live,
-            'agents-revision': self._relay.agents_revision,
+            'agents-revision': positions.agents.revision,
             'agents-unlisted': self._relay.unlisted_agents,
             'configuration-version': self._relay.version,
             'oldest-report-milliseconds': oldest_report_ms,
             'services-unserved': agents.unserved,
             'evacuated-zones': len(self._relay.evacuated_zones),
-            'evacuations-revision': self._relay.evacuations_revision,
+            'evacuations-revision': positions.evacuations.revision,
+            'store-era': positions.era,
             'flows': self._relay.cached_flows,
             'flows-waiting': self._relay.queued_flows,
             'configuration-from-peer': self._relay.sources.routes.is_peer,
@@ -117,12 +123,14 @@
     def describe_state(self) -> dict[str, Any]:
         """Return the versions in force and their sources."""
         sources = self._relay.sources
+        positions = self._relay.positions
         return {
             'version': self._relay.version,
             'routes_source': sources.routes.name,
-            'agents_revision': self._relay.agents_revision,
+            'store_era': positions.era,
+            'agents_revision': positions.agents.revision,
             'agents_source': sources.agents.name,
-            'evacuations_revision': self._relay.evacuations_revision,
+            'evacuations_revision': positions.evacuations.revision,
             'evacuations_source': sources.evacuations.name,
         }
 
@@ -182,12 +190,16 @@
     def _set_routes_fresh(self, message: SetRoutesFresh) -> None:
         self._relay.set_routes_fresh(fresh=message.fresh)
 
+    @reactions.add(LearnEra)
+    def _learn_era(self, message: LearnEra) -> None:
+        self._relay.learn_era(message.era, self._clock.now(), source=STORE)
+
     @reactions.add(UpdateAgents)
     def _update_agents(self, message: UpdateAgents) -> None:
         self._relay.update_agents(
             message.entries,
             self._clock.now(),
-            revision=message.revision,
+            position=message.position,
             as_of=message.as_of,
             next_read_seconds=message.next_read_seconds,
             peer=message.peer,
@@ -198,7 +210,7 @@
         self._relay.update_evacuations(
             message.zones,
             self._clock.now(),
-            revision=message.revision,
+            position=message.position,
             peer=message.peer,
         )
 
@@ -262,6 +274,7 @@
         now = self._clock.now()
         self.guard(self._relay.tick, now)
         self._flush()
+        self.guard(self._tell_era)
         self.guard(self._relist_outdated, now)
         loop = asyncio.get_running_loop()
         loop.call_later(TICK_INTERVAL_SECONDS, self._tick)
@@ -286,10 +299,22 @@
         if count == self._balancers:
             return
         self._balancers = count
+        for watch in self._watches:
+            watch.tell(SetBalancers(count=count))
+
+    def _tell_era(self) -> None:
+        era = self._relay.positions.era
+        if era == self._told_era:
+            return
+        self._told_era = era
+        for watch in self._watches:
+            watch.tell(LearnEra(era=era))
+
+    @property
+    def _watches(self) -> tuple[Actor, ...]:
         watches = (
             self._configuration_watch,
             self._agent_watch,
             self._evacuation_watch,
         )
-        for watch in filter(None, watches):
-            watch.tell(SetBalancers(count=count))
+        return tuple(filter(None, watches))
--- a/bluebellfold/relay/callers/agent_follower.py
+++ b/bluebellfold/relay/callers/agent_follower.py
@@ -9,7 +9,13 @@
 
 from collections.abc import Callable, Iterable
 
-from bluebellfold.core import ANY_REGION, NO_VERSION, Regions
+from bluebellfold.core import (
+    ANY_REGION,
+    NO_POSITION,
+    NO_VERSION,
+    Regions,
+    StorePosition,
+)
 from bluebellfold.relay.agents import (
     SUBSET_SIZE,
     Address,
@@ -53,7 +59,7 @@
 
     __slots__ = (
         '_agent_table',
-        '_agents_revision',
+        '_agents_position',
         '_draw',
         '_evacuations',
         '_followers',
@@ -89,16 +95,20 @@
         self._evacuations = evacuations
         self._transport = transport
         self._draw = draw
-        self._agents_revision = 0
+        self._agents_position = NO_POSITION
         self._subscribe_due = float(0)
         self._followers: dict[Address, int] = {}
         self._sampled_at: dict[_SampleKey, float] = {}
 
     def update_agents(
-        self, entries: Iterable[AgentEntry], now: float, *, revision: int
+        self,
+        entries: Iterable[AgentEntry],
+        now: float,
+        *,
+        position: StorePosition,
     ) -> AgentTableChange:
         """Replace the list of agents, and follow new members of subsets."""
-        self._agents_revision = revision
+        self._agents_position = position
         change = self._agent_table.update_entries(entries, now)
         for removed in change.removed:
             self._followers.pop(removed, None)
@@ -252,7 +262,7 @@
                 offers_sent=view.offers_sent,
                 versions=Versions(
                     configuration=version,
-                    agents=self._agents_revision,
+                    agents=self._agents_position,
                     evacuation=self._evacuations.find(view.zone),
                 ),
                 once=not view.is_followed,
--- a/bluebellfold/relay/callers/agent_list.py
+++ b/bluebellfold/relay/callers/agent_list.py
@@ -3,9 +3,10 @@
 Load pattern: agents list themselves one by one while balancers already serve.
 A flow is reset once all known agents have denied it, so a balancer that lacks
 an agent would reset the living flows of that agent. Others may know it earlier:
-they name the revision of their list to agents, which pass it on.
+they name the position of their list to agents, which pass it on.
 """
 
+from bluebellfold.core import NO_POSITION, StorePosition
 from bluebellfold.relay.callers.versions import NewestVersion
 
 NEVER = float('-inf')
@@ -14,56 +15,59 @@
 class AgentListVersion:
     """Track which list of agents is in force, and which one others have.
 
-    ``revision`` is that of the agent that was written last, which is the same
+    ``position`` is that of the agent that was written last, which is the same
     at all balancers with this list. The list may be complete as of a later
-    revision of the store, since agents also leave.
+    position of the store, since agents also leave.
 
     >>> known = AgentListVersion()
-    >>> known.replace(revision=5, as_of=9, now=1.0)
-    >>> known.observe(9, now=2.0)
+    >>> fifth, ninth, tenth = (
+    ...     StorePosition(era=1, revision=revision) for revision in (5, 9, 10)
+    ... )
+    >>> known.replace(position=fifth, as_of=ninth, now=1.0)
+    >>> known.observe(ninth, now=2.0)
     >>> known.complete_at(3.0)
     3.0
-    >>> known.observe(10, now=3.0)
+    >>> known.observe(tenth, now=3.0)
     >>> known.complete_at(4.0), known.is_outdated(4.0)
     (-inf, True)
     """
 
-    __slots__ = ('_as_of', '_newest', '_read_at', '_read_due', '_revision')
+    __slots__ = ('_as_of', '_newest', '_position', '_read_at', '_read_due')
 
     def __init__(self) -> None:
-        self._revision = 0
-        self._as_of = 0
+        self._position = NO_POSITION
+        self._as_of = NO_POSITION
         self._read_at = NEVER
         self._read_due = NEVER
-        self._newest = NewestVersion()
+        self._newest = NewestVersion(lowest=NO_POSITION)
 
     @property
-    def revision(self) -> int:
-        """Return the revision of the agent that was written last."""
-        return self._revision
+    def position(self) -> StorePosition:
+        """Return the position of the agent that was written last."""
+        return self._position
 
     def replace(
         self,
         *,
-        revision: int,
-        as_of: int,
+        position: StorePosition,
+        as_of: StorePosition | None,
         now: float,
         next_read_seconds: float = 0,
     ) -> None:
-        """Record a new list, read as of a revision of the store, 0 if unknown.
+        """Record a new list, read as of a position, None if unknown.
 
         Changes become known after ``next_read_seconds``.
         """
-        self._revision = revision
+        self._position = position
         # A list of several pages may have newer agents and yet lack others: it
         # is complete as of its first page.
-        self._as_of = as_of or revision
+        self._as_of = as_of or position
         self._read_at = now
         self._read_due = now + next_read_seconds
 
-    def observe(self, revision: int, now: float) -> None:
-        """Record the revision of the list that another balancer has."""
-        self._newest.observe(revision, now)
+    def observe(self, position: StorePosition, now: float) -> None:
+        """Record the position of the list that another balancer has."""
+        self._newest.observe(position, now)
 
     def is_outdated(self, now: float) -> bool:
         """Return whether the list has lacked an agent for too long."""
--- a/bluebellfold/relay/callers/evacuations.py
+++ b/bluebellfold/relay/callers/evacuations.py
@@ -1,19 +1,21 @@
 """Decide which zones count as evacuated, from the store and from agents.
 
 Load pattern: the operator evacuates a zone, or ends it, while the store refuses
-some balancers, cuts their watches or has discarded its history. Agents pass on
-what other balancers told them, so that a balancer whose watch is late learns
-it from their load reports. Reports and lists arrive late and out of order; the
-state as of the newest revision of the store holds.
+some balancers, cuts their watches, has discarded its history or comes back from
+a copy. Agents pass on what other balancers told them, so that a balancer whose
+watch is late learns it from their load reports. Reports and lists arrive late
+and out of order; the state as of the newest position of the store holds.
 """
 
 from collections.abc import Iterable
 
-from bluebellfold.core import NO_VERSION
+from bluebellfold.core import NO_POSITION, StorePosition
 from bluebellfold.relay.agents import (
     NO_EVACUATION,
     AgentView,
     Evacuation,
+    KnownEra,
+    merge_evacuations,
 )
 from bluebellfold.relay.callers.versions import MAX_LAG_SECONDS
 
@@ -25,17 +27,22 @@
 
     __slots__ = (
         '_differs_since',
+        '_elsewhere',
         '_evacuated_zones',
-        '_heard',
-        '_listed_revision',
+        '_known_era',
+        '_listed_position',
         '_listed_zones',
+        '_states',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, known_era: KnownEra) -> None:
+        self._known_era = known_era
         self._listed_zones = NO_ZONES
-        self._listed_revision = NO_VERSION
-        # As of the revision of the list or a newer one, by zone.
-        self._heard: dict[str, Evacuation] = {}
+        self._listed_position = NO_POSITION
+        # By zone, of those that are or were evacuated.
+        self._states: dict[str, Evacuation] = {}
+        # Of all others, as listed.
+        self._elsewhere = NO_EVACUATION
         self._differs_since: float | None = None
         self._evacuated_zones = NO_ZONES
 
@@ -45,9 +52,9 @@
         return self._evacuated_zones
 
     @property
-    def revision(self) -> int:
-        """Return the revision of the own list, NO_VERSION before the first."""
-        return self._listed_revision
+    def position(self) -> StorePosition:
+        """Return the position of the own list, NO_POSITION before the first."""
+        return self._listed_position
 
     def find(self, zone: str) -> Evacuation:
         """Return the newest known state of a zone.
@@ -56,30 +63,38 @@
         """
         if not zone:
             return NO_EVACUATION
-        heard = self._heard.get(zone)
-        if heard is not None:
-            return heard
-        return Evacuation(
-            evacuated=zone in self._listed_zones,
-            revision=self._listed_revision,
-        )
+        return self._states.get(zone, self._elsewhere)
 
     def update_listed(
-        self, zones: frozenset[str], *, revision: int
+        self, zones: frozenset[str], now: float, *, position: StorePosition
     ) -> frozenset[str]:
-        """Store the evacuated zones as of a revision of the store.
+        """Store the evacuated zones as of a position of the store.
 
-        Return the zones whose state has changed. A list that isn't newer than
-        the known one changes nothing.
+        Return the zones whose state has changed. A list that is older than the
+        known one changes nothing.
         """
-        if revision <= self._listed_revision:
+        if position < self._listed_position:
             return NO_ZONES
-        self._listed_zones = zones
-        self._listed_revision = revision
-        self._heard = {
-            zone: heard
-            for zone, heard in self._heard.items()
-            if heard.revision >= revision
+        # Of one position there is one list.
+        if position > self._listed_position:
+            self._listed_zones = zones
+            self._listed_position = position
+        states = {
+            zone: self._merge(
+                self.find(zone),
+                Evacuation(
+                    evacuated=zone in self._listed_zones, position=position
+                ),
+                now,
+            )
+            for zone in self._listed_zones | self._states.keys()
+        }
+        listed_elsewhere = Evacuation(evacuated=False, position=position)
+        self._elsewhere = self._merge(self._elsewhere, listed_elsewhere, now)
+        self._states = {
+            zone: state
+            for zone, state in states.items()
+            if state != self._elsewhere
         }
         if not self._differing:
             self._differs_since = None
@@ -90,9 +105,13 @@
 
         Return whether the zone's state has changed.
         """
-        if not zone or evacuation.revision <= self.find(zone).revision:
+        known = self.find(zone)
+        if not zone or _is_known(known, evacuation):
             return False
-        self._heard[zone] = evacuation
+        merged = self._merge(known, evacuation, now)
+        if merged == known:
+            return False
+        self._states[zone] = merged
         if not self._differing:
             self._differs_since = None
         elif self._differs_since is None:
@@ -122,14 +141,27 @@
     @property
     def _differing(self) -> bool:
         return any(
-            heard.evacuated != (zone in self._listed_zones)
-            for zone, heard in self._heard.items()
-            if heard.revision > self._listed_revision
+            state.evacuated != (zone in self._listed_zones)
+            for zone, state in self._states.items()
+            if state.position > self._listed_position
         )
 
+    def _merge(
+        self, known: Evacuation, told: Evacuation, now: float
+    ) -> Evacuation:
+        may_lack_writes = self._known_era.may_lack_writes(now)
+        return merge_evacuations(known, told, may_lack_writes=may_lack_writes)
+
     def _update_zones(self) -> frozenset[str]:
         before = self._evacuated_zones
-        listed = self._listed_zones - self._heard.keys()
-        heard = {zone for zone in self._heard if self._heard[zone].evacuated}
-        self._evacuated_zones = listed | heard
+        self._evacuated_zones = frozenset(
+            zone for zone, state in self._states.items() if state.evacuated
+        )
         return before ^ self._evacuated_zones
+
+
+def _is_known(known: Evacuation, told: Evacuation) -> bool:
+    """Return whether a state can't change what is known."""
+    if told.position > known.position:
+        return False
+    return known.is_certain or not told.evacuated
--- a/bluebellfold/relay/callers/relay.py
+++ b/bluebellfold/relay/callers/relay.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatchmethod
 
-from bluebellfold.core import Message, Packet, RoutingTable
+from bluebellfold.core import (
+    NO_POSITION,
+    Message,
+    Packet,
+    RoutingTable,
+    StorePosition,
+)
 from bluebellfold.relay.agents import (
     DEFAULT_POLICY,
     Address,
@@ -19,6 +25,7 @@
     FlowOwner,
     FlowPresumedAbsent,
     FlowUncertain,
+    KnownEra,
     LoadReport,
     ReturnedPacket,
 )
@@ -30,6 +37,7 @@
 from bluebellfold.relay.callers.flow_cache import FlowCache
 from bluebellfold.relay.callers.forwarding import FlowForwarder
 from bluebellfold.relay.callers.home_regions import NO_REGIONS, HomeRegions
+from bluebellfold.relay.callers.known_positions import KnownPositions
 from bluebellfold.relay.callers.state_sources import StateSources
 from bluebellfold.relay.callers.transport import Transport
 from bluebellfold.relay.callers.unlisted_agents import UnlistedAgents
@@ -66,6 +74,7 @@
         '_follower',
         '_forwarder',
         '_journal',
+        '_known_era',
         '_last_run_at',
         '_register_due',
         '_routes',
@@ -93,7 +102,8 @@
         self._agent_table = AgentTable()
         self._agent_list = AgentListVersion()
         self._unlisted = UnlistedAgents(agent_table=self._agent_table)
-        self._evacuations = Evacuations()
+        self._known_era = KnownEra()
+        self._evacuations = Evacuations(known_era=self._known_era)
         self._sources = StateSources()
         self._flows = FlowCache()
         self._follower = AgentFollower(
@@ -148,9 +158,13 @@
         return self._sources
 
     @property
-    def agents_revision(self) -> int:
-        """Return the revision of the list of agents."""
-        return self._agent_list.revision
+    def positions(self) -> KnownPositions:
+        """Return what is known of the history of the store."""
+        return KnownPositions(
+            era=self._known_era.number,
+            agents=self._agent_list.position,
+            evacuations=self._evacuations.position,
+        )
 
     @property
     def agent_table(self) -> AgentTable:
@@ -177,11 +191,6 @@
         """Return the zones that count as evacuated."""
         return self._evacuations.zones
 
-    @property
-    def evacuations_revision(self) -> int:
-        """Return the revision of the list of evacuations."""
-        return self._evacuations.revision
-
     def estimate_balancers(self) -> int:
         """Return about how many balancers there are."""
         return self._follower.estimate_balancers()
@@ -204,6 +213,14 @@
         """Return whether agents know of evacuations that the list lacks."""
         return self._evacuations.are_outdated(now)
 
+    def learn_era(self, era: int, now: float, *, source: str) -> None:
+        """Record an era of the store that a watch or an agent has told."""
+        before = self._known_era.number
+        if not self._known_era.observe(era, now):
+            return
+        self._journal.count('store-eras-begun')
+        self._journal.log('BBF0761', era=era, era_before=before, source=source)
+
     def update_routes(
         self, routes: RoutingTable, *, now: float, peer: str = ''
     ) -> bool:
@@ -237,23 +254,27 @@
         entries: Iterable[AgentEntry],
         now: float,
         *,
-        revision: int = 0,
-        as_of: int = 0,
+        position: StorePosition = NO_POSITION,
+        as_of: StorePosition | None = None,
         next_read_seconds: float = 0,
         peer: str = '',
     ) -> None:
-        """Replace the list of agents by the given revision of the list.
+        """Replace the list of agents.
 
-        It has all agents as of the store's revision ``as_of``, also if the
-        agent that was written last has left since. Changes become known after
-        ``next_read_seconds``. That of a balancer (``peer``) counts only before
-        the store answers. Agents that run though it lacks them are kept.
+        The agent that was written last has the given ``position``. The list has
+        all agents as of a position ``as_of``, None if unknown. Changes become
+        known after ``next_read_seconds``. The list of a balancer (``peer``)
+        counts only before the store answers. Agents that run though it lacks
+        them are kept.
         """
         if not self._sources.agents.accepts(peer):
             return
         self._sources.agents.record(peer)
+        self.learn_era(
+            (as_of or position).era, now, source=self._sources.agents.name
+        )
         self._agent_list.replace(
-            revision=revision,
+            position=position,
             as_of=as_of,
             now=now,
             next_read_seconds=next_read_seconds,
@@ -262,7 +283,11 @@
         self._apply_agents(now)
         for address in kept:
             self._journal.count('agents-found-unlisted')
-            self._journal.log('BBF0759', agent=address[0], as_of=as_of)
+            self._journal.log(
+                'BBF0759',
+                agent=address[0],
+                as_of=None if as_of is None else as_of.revision,
+            )
             self._follower.probe(self._agent_table.get(address), now)
 
     def update_evacuations(
@@ -270,10 +295,10 @@
         zones: frozenset[str],
         now: float,
         *,
-        revision: int,
+        position: StorePosition,
         peer: str = '',
     ) -> None:
-        """Replace the evacuated zones by those of a revision of the store.
+        """Replace the evacuated zones by those of a position of the store.
 
         Those of a balancer (``peer``) count only before the store answers.
         """
@@ -281,16 +306,19 @@
         if not source.accepts(peer):
             return
         source.record(peer)
-        known = self._evacuations.revision
-        if revision < known:
+        self.learn_era(position.era, now, source=source.name)
+        known = self._evacuations.position
+        if position < known:
             self._journal.count('evacuations-outdated-list')
             self._journal.log(
                 'BBF0762',
-                revision=revision,
-                revision_known=known,
+                era=position.era,
+                era_known=known.era,
+                revision=position.revision,
+                revision_known=known.revision,
                 source=source.name,
             )
-        changed = self._evacuations.update_listed(zones, revision=revision)
+        changed = self._evacuations.update_listed(zones, now, position=position)
         for zone in sorted(changed):
             self._log_evacuation(zone, source=source.name)
         if changed:
@@ -356,6 +384,7 @@
         self._follower.record_followers(address, message.followers)
         if not was_live or state_before != load.state:
             self._log_agent_state(view, was_live=was_live)
+        self.learn_era(load.versions.era, now, source=address[0])
         self._routes.observe(load.versions.configuration, now)
         self._agent_list.observe(load.versions.agents, now)
         evacuation = load.versions.evacuation
@@ -438,9 +467,9 @@
         return self._agent_list.complete_at(now)
 
     def _apply_agents(self, now: float) -> None:
-        revision = self._agent_list.revision
+        position = self._agent_list.position
         change = self._follower.update_agents(
-            self._unlisted.all_entries, now, revision=revision
+            self._unlisted.all_entries, now, position=position
         )
         if not change.added and not change.removed:
             return
@@ -449,7 +478,8 @@
             'BBF0708',
             added=list(change.added),
             removed=list(change.removed),
-            revision=revision,
+            era=position.era,
+            revision=position.revision,
         )
         self._admission.refuse_ineligible(now)
 
@@ -464,7 +494,8 @@
             'BBF0746',
             zone=zone,
             evacuated=evacuation.evacuated,
-            revision=evacuation.revision,
+            era=evacuation.position.era,
+            revision=evacuation.position.revision,
             agents=sum(view.zone == zone for view in self._agent_table.views),
             source=source,
         )
--- a/bluebellfold/relay/callers/tests/test_copied_state.py
+++ b/bluebellfold/relay/callers/tests/test_copied_state.py
@@ -7,6 +7,7 @@
 from bluebellfold.relay.callers.tests.harness import DATA, FIRST, SECOND
 from bluebellfold.relay.tests.harness import (
     Balancer,
+    position_of,
     report_of,
     route_to,
     table_of,
@@ -32,7 +33,7 @@
 def copy_agents(balancer, *addresses, revision):
     entries = [AgentEntry(address=address) for address in addresses]
     balancer.relay.update_agents(
-        entries, balancer.now, revision=revision, peer=PEER
+        entries, balancer.now, position=position_of(revision), peer=PEER
     )
 
 
@@ -75,7 +76,7 @@
     copy_agents(balancer, FIRST, revision=90)
     copy_agents(balancer, revision=5)
     assert listed(balancer) == [SECOND]
-    assert balancer.relay.agents_revision == revision
+    assert balancer.relay.positions.agents == position_of(revision)
     assert balancer.relay.sources.agents.is_store
 
 
--- a/bluebellfold/relay/callers/tests/test_evacuations.py
+++ b/bluebellfold/relay/callers/tests/test_evacuations.py
@@ -12,8 +12,8 @@
     SUBSET_SIZE,
     AgentEntry,
     Declined,
-    Evacuation,
     ForwardedPacket,
+    KnownEra,
     Offer,
     Subscribe,
 )
@@ -22,7 +22,9 @@
     COUNTER,
     Balancer,
     encode_and_decode,
+    evacuation_of,
     fleet_of,
+    position_of,
     report_of,
     single,
     versions_of,
@@ -43,10 +45,6 @@
 _sequences = itertools.count(1)
 
 
-def state_of(*, evacuated=True, revision=9):
-    return Evacuation(evacuated=evacuated, revision=revision)
-
-
 def entry_of(address):
     return AgentEntry(address=address, service=COUNTER, zone=ZONES[address])
 
@@ -73,9 +71,11 @@
     return balancer
 
 
-def evacuate(balancer, *zones, revision=10):
+def evacuate(balancer, *zones, revision=10, era=1):
     balancer.relay.update_evacuations(
-        frozenset(zones), balancer.now, revision=revision
+        frozenset(zones),
+        balancer.now,
+        position=position_of(revision, era=era),
     )
 
 
@@ -103,7 +103,10 @@
 
 def copy_evacuations(balancer, *zones, revision=10):
     balancer.relay.update_evacuations(
-        frozenset(zones), balancer.now, revision=revision, peer=PEER
+        frozenset(zones),
+        balancer.now,
+        position=position_of(revision),
+        peer=PEER,
     )
 
 
@@ -116,7 +119,7 @@
     assert set(sent_to(balancer, Offer)) == {IN_B}
     balancer.advance(0.05)
     told = dict(balancer.transport.pop_messages(Subscribe))
-    assert told[IN_A].versions.evacuation == state_of(revision=10)
+    assert told[IN_A].versions.evacuation == evacuation_of(revision=10)
     logged = [r for r in caplog.records if r.event == 'BBF0746']
     assert single(logged).source == PEER
 
@@ -125,7 +128,7 @@
 # against one whose order of arrival decides.
 def test_copied_evacuations_never_revert_newer_state():
     balancer = balancer_with(IN_A, IN_B)
-    report(balancer, IN_A, state_of(evacuated=False, revision=12))
+    report(balancer, IN_A, evacuation_of(evacuated=False, revision=12))
     copy_evacuations(balancer, 'a', 'b', revision=11)
     assert balancer.relay.evacuated_zones == {'b'}
     copy_evacuations(balancer, 'a', revision=9)
@@ -171,7 +174,7 @@
     report(balancer, IN_A)
     balancer.advance(1)
     _, message = balancer.transport.pop_messages(Subscribe)[-1]
-    assert message.versions.evacuation == state_of(revision=10)
+    assert message.versions.evacuation == evacuation_of(revision=10)
 
 
 def test_new_flows_go_to_other_zones_only():
@@ -272,7 +275,7 @@
     caplog.set_level('INFO')
     balancer = balancer_with(IN_A)
     packet = open_flow(balancer)
-    report(balancer, IN_A, state_of())
+    report(balancer, IN_A, evacuation_of())
     assert not balancer.transport.resets, 'the agent may have accepted it'
     balancer.receive_message(
         IN_A, Declined(packet=packet, reason=DECLINED_EVACUATED)
@@ -326,8 +329,8 @@
         for address, message in balancer.transport.pop_messages(Subscribe)
     }
     assert told == {
-        IN_A: state_of(revision=10),
-        IN_B: state_of(evacuated=False, revision=10),
+        IN_A: evacuation_of(revision=10),
+        IN_B: evacuation_of(evacuated=False, revision=10),
     }
 
 
@@ -339,14 +342,14 @@
     assert not sent_to(balancer, Subscribe)
     balancer.advance(0.6)
     _, message = single(balancer.transport.pop_messages(Subscribe))
-    assert message.versions.evacuation.revision == 11
+    assert message.versions.evacuation.position == position_of(11)
 
 
 def test_newer_state_of_an_agent_is_adopted_and_the_list_read_again():
     # The store refuses this balancer, or its watch was cut without an error.
     balancer = balancer_with(IN_A, IN_B)
     evacuate(balancer, revision=8)
-    report(balancer, IN_A, state_of())
+    report(balancer, IN_A, evacuation_of())
     open_flow(balancer)
     assert sent_to(balancer, Offer) == [IN_B]
     assert not balancer.relay.evacuations_outdated(balancer.now)
@@ -360,7 +363,7 @@
     # Otherwise balancers would make each other list for ever.
     balancer = balancer_with(IN_A)
     evacuate(balancer, 'a')
-    report(balancer, IN_A, state_of(revision=11))
+    report(balancer, IN_A, evacuation_of(revision=11))
     balancer.advance(0.4)
     assert not balancer.relay.evacuations_outdated(balancer.now)
 
@@ -369,7 +372,7 @@
 def test_older_state_of_an_agent_changes_nothing(revision):
     balancer = balancer_with(IN_A)
     evacuate(balancer, 'a')
-    report(balancer, IN_A, state_of(evacuated=False, revision=revision))
+    report(balancer, IN_A, evacuation_of(evacuated=False, revision=revision))
     open_flow(balancer)
     balancer.advance(0.4)
     assert not sent_to(balancer, Offer)
@@ -386,7 +389,7 @@
 def test_list_that_is_older_for_one_zone_holds_for_the_others():
     # The list was read before the evacuation that an agent told.
     balancer = balancer_with(IN_A, IN_B)
-    report(balancer, IN_A, state_of(revision=12))
+    report(balancer, IN_A, evacuation_of(revision=12))
     evacuate(balancer, 'b', revision=11)
     assert balancer.relay.evacuated_zones == {'a', 'b'}
     evacuate(balancer, revision=13)
@@ -398,7 +401,7 @@
     balancer = balancer_with(IN_A)
     evacuate(balancer, 'a', revision=10)
     evacuate(balancer, revision=11)
-    report(balancer, IN_A, state_of(revision=10))
+    report(balancer, IN_A, evacuation_of(revision=10))
     open_flow(balancer)
     assert sent_to(balancer, Offer) == [IN_A]
 
@@ -418,7 +421,7 @@
     balancer = balancer_with(IN_A, IN_B)
     evacuate(balancer, 'a')
     evacuate(balancer, 'a', revision=11)
-    report(balancer, IN_A, state_of(evacuated=False, revision=12))
+    report(balancer, IN_A, evacuation_of(evacuated=False, revision=12))
     logged = [r for r in caplog.records if r.event == 'BBF0746']
     assert [(r.zone, r.evacuated, r.revision, r.source) for r in logged] == [
         ('a', True, 10, 'store'),
@@ -453,4 +456,4 @@
 
 
 def test_state_of_a_zone_is_unknown_before_any_list():
-    assert Evacuations().find('a') == NO_EVACUATION
+    assert Evacuations(known_era=KnownEra()).find('a') == NO_EVACUATION
--- a/bluebellfold/relay/callers/tests/test_forwarding.py
+++ b/bluebellfold/relay/callers/tests/test_forwarding.py
@@ -24,6 +24,7 @@
     ZONE,
     Balancer,
     fleet_of,
+    position_of,
     report_of,
     versions_of,
 )
@@ -132,8 +133,8 @@
     balancer.relay.update_agents(
         [AgentEntry(address=address) for address in (FIRST, SECOND)],
         balancer.now,
-        revision=5,
-        as_of=9,
+        position=position_of(5),
+        as_of=position_of(9),
     )
     balancer.advance(0.4)
     assert not balancer.relay.agents_outdated(balancer.now)
--- a/bluebellfold/relay/callers/tests/test_home_regions.py
+++ b/bluebellfold/relay/callers/tests/test_home_regions.py
@@ -15,6 +15,7 @@
     COUNTER,
     Balancer,
     fleet_of,
+    position_of,
     report_of,
     route_to,
     single,
@@ -238,7 +239,7 @@
         zone='n0',
     )
     balancer.relay.update_evacuations(
-        frozenset(south[1:]), balancer.now, revision=5
+        frozenset(south[1:]), balancer.now, position=position_of(5)
     )
     balancer.transport.sent.clear()
     balancer.advance(0.05)
--- a/bluebellfold/relay/callers/versions.py
+++ b/bluebellfold/relay/callers/versions.py
@@ -5,33 +5,46 @@
 detects it.
 """
 
-from bluebellfold.core import NO_ROUTES, NO_VERSION, RoutingTable
+from typing import Generic, TypeVar
+
+from bluebellfold.core import (
+    NO_ROUTES,
+    NO_VERSION,
+    RoutingTable,
+    StorePosition,
+)
+
+# The operator's number of a configuration, or a position of the store.
+Version = TypeVar('Version', int, StorePosition)
 
 # The store notifies all watchers of a change within milliseconds, so a watch
 # that is later than this has stalled.
 MAX_LAG_SECONDS = 0.3
 
 
-class NewestVersion:
-    """Hold the greatest version observed, and when it was first observed."""
+class NewestVersion(Generic[Version]):
+    """Hold the greatest version observed, and when it was first observed.
 
-    __slots__ = ('_number', '_observed_at')
+    ``lowest`` is below all versions that processes have.
+    """
 
-    def __init__(self) -> None:
-        self._number = NO_VERSION
+    __slots__ = ('_observed_at', '_version')
+
+    def __init__(self, *, lowest: Version) -> None:
+        self._version = lowest
         self._observed_at = float(0)
 
-    def observe(self, number: int, now: float) -> None:
+    def observe(self, version: Version, now: float) -> None:
         """Record the version of another process if it is the greatest."""
-        if number > self._number:
-            self._number = number
+        if version > self._version:
+            self._version = version
             self._observed_at = now
 
-    def is_newer_than(self, own: int) -> bool:
+    def is_newer_than(self, own: Version) -> bool:
         """Return whether another process has a greater version."""
-        return self._number > own
+        return self._version > own
 
-    def outdates(self, own: int, now: float) -> bool:
+    def outdates(self, own: Version, now: float) -> bool:
         """Return whether the own version has been outdated for too long."""
         return (
             self.is_newer_than(own)
@@ -47,7 +60,7 @@
     def __init__(self) -> None:
         self._table = NO_ROUTES
         self._is_fresh = False
-        self._newest_version = NewestVersion()
+        self._newest_version = NewestVersion(lowest=NO_VERSION)
 
     @property
     def table(self) -> RoutingTable:
--- a/bluebellfold/relay/operators/agreement.py
+++ b/bluebellfold/relay/operators/agreement.py
@@ -19,7 +19,9 @@
     (BALANCER, 'agents_listed'),
     (BALANCER, 'agents_checksum'),
     (BALANCER, 'evacuated_zones'),
+    (BALANCER, 'store_era'),
     (AGENT, 'newest_configuration_version'),
+    (AGENT, 'store_era'),
 )
 # A followed agent reports each 0.2 s, and is replaced after 3 s of silence.
 OLD_REPORT_MILLISECONDS = 700
--- a/bluebellfold/relay/store/agents.py
+++ b/bluebellfold/relay/store/agents.py
@@ -11,7 +11,13 @@
 from typing import Any
 
 from bluebellfold.collectors import log_event
-from bluebellfold.core import Actor, Endpoint, Registry
+from bluebellfold.core import (
+    NO_POSITION,
+    Actor,
+    Endpoint,
+    Registry,
+    StorePosition,
+)
 from bluebellfold.core.backoff import Backoff
 from bluebellfold.platform import Changes, ObjectStoreClient, StoredObject
 from bluebellfold.relay.agents import AgentEntry
@@ -51,14 +57,14 @@
         super().__init__(
             kind=AGENTS_KIND,
             client=ObjectStoreClient(endpoint=endpoint),
+            actor=actor,
             backoff=create_backoff(),
             wait_seconds=WAIT_SECONDS,
             settle_seconds=SETTLE_SECONDS,
             copies=copies,
         )
-        self._actor = actor
         self._entries: dict[str, AgentEntry] = {}
-        self._newest_revision = 0
+        self._newest = NO_POSITION
         self._rejected: dict[str, int] = {}
 
     def replace_all(self, changes: Changes) -> None:
@@ -94,12 +100,13 @@
                 self._reject(change.stored)
                 continue
             self._entries[name] = entry
-            # The revision of the agent that was written last. All balancers
-            # that know this agent compute the same number, whenever they read
-            # the list.
-            self._newest_revision = max(
-                self._newest_revision, change.stored.revision
+            # The position of the agent that was written last. All balancers
+            # that know this agent compute the same one, whenever they read the
+            # list.
+            written = StorePosition(
+                era=changes.position.era, revision=change.stored.revision
             )
+            self._newest = max(self._newest, written)
 
     def _report_entries(
         self, changes: Changes, *, next_read_seconds: float
@@ -107,8 +114,8 @@
         self._actor.tell(
             list_agents(
                 self._entries.values(),
-                revision=self._newest_revision,
-                as_of=changes.revision,
+                position=self._newest,
+                as_of=changes.position,
                 next_read_seconds=next_read_seconds,
             )
         )
@@ -131,8 +138,8 @@
 def list_agents(
     entries: Iterable[AgentEntry],
     *,
-    revision: int,
-    as_of: int = 0,
+    position: StorePosition,
+    as_of: StorePosition | None = None,
     next_read_seconds: float = 0,
     peer: str = '',
 ) -> UpdateAgents:
@@ -140,7 +147,7 @@
     by_address = {entry.address: entry for entry in entries}
     return UpdateAgents(
         entries=tuple(by_address[key] for key in sorted(by_address)),
-        revision=revision,
+        position=position,
         as_of=as_of,
         next_read_seconds=next_read_seconds,
         peer=peer,
--- a/bluebellfold/relay/store/configuration.py
+++ b/bluebellfold/relay/store/configuration.py
@@ -43,13 +43,13 @@
         super().__init__(
             kind=CONFIGURATION_KIND,
             client=ObjectStoreClient(endpoint=endpoint),
+            actor=actor,
             backoff=Backoff(
                 randomness=random.Random(), cap_seconds=RETRY_CAP_SECONDS
             ),
             wait_seconds=WAIT_SECONDS,
             copies=copies,
         )
-        self._actor = actor
 
     def replace_all(self, changes: Changes) -> None:
         """Apply the listed configuration, if there is one."""
--- a/bluebellfold/relay/store/evacuations.py
+++ b/bluebellfold/relay/store/evacuations.py
@@ -4,7 +4,13 @@
 import random
 
 from bluebellfold.collectors import log_event
-from bluebellfold.core import Actor, Endpoint, Registry, Sentinel
+from bluebellfold.core import (
+    Actor,
+    Endpoint,
+    Registry,
+    Sentinel,
+    StorePosition,
+)
 from bluebellfold.core.backoff import Backoff
 from bluebellfold.platform import (
     EVACUATIONS_KIND,
@@ -49,13 +55,13 @@
         super().__init__(
             kind=EVACUATIONS_KIND,
             client=ObjectStoreClient(endpoint=endpoint),
+            actor=actor,
             backoff=Backoff(
                 randomness=random.Random(), cap_seconds=RETRY_CAP_SECONDS
             ),
             wait_seconds=wait_seconds,
             copies=copies,
         )
-        self._actor = actor
         self._zones: set[str] = set()
         self._rejected: set[str] = set()
 
@@ -68,11 +74,11 @@
         """Apply begun and ended evacuations, and report all of them."""
         for change in changes.changes:
             self._apply_change(change)
-        self._report(changes.revision)
+        self._report(changes.position)
 
-    def handle_unchanged(self, revision: int) -> None:
-        """Report that the evacuated zones hold as of a newer revision."""
-        self._report(revision)
+    def handle_unchanged(self, position: StorePosition) -> None:
+        """Report that the evacuated zones hold as of a newer position."""
+        self._report(position)
 
     def _apply_change(self, change: Change) -> None:
         zone = decode_evacuated_zone(change.stored)
@@ -83,9 +89,9 @@
         if not change.deleted:
             self._zones.add(zone)
 
-    def _report(self, revision: int) -> None:
+    def _report(self, position: StorePosition) -> None:
         self._actor.tell(
-            UpdateEvacuations(zones=frozenset(self._zones), revision=revision)
+            UpdateEvacuations(zones=frozenset(self._zones), position=position)
         )
 
     def _reject(self, stored: StoredObject) -> None:
--- a/bluebellfold/relay/store/messages.py
+++ b/bluebellfold/relay/store/messages.py
@@ -1,6 +1,12 @@
 """Define the messages that the watches of the store send and receive."""
 
-from bluebellfold.core import Message, RoutingTable, read_only
+from bluebellfold.core import (
+    NO_POSITION,
+    Message,
+    RoutingTable,
+    StorePosition,
+    read_only,
+)
 from bluebellfold.platform import Change
 from bluebellfold.relay.agents import AgentEntry
 
@@ -33,11 +39,12 @@
 
 
 class UpdateAgents(Message):
-    """Replace the list of agents by the given revision of the list.
+    """Replace the list of agents.
 
-    ``as_of`` is the revision of the store at which it was read, 0 if unknown.
-    Changes become known after ``next_read_seconds``, 0 if a watch is in
-    progress. ``peer`` is the balancer that had it, empty for the store.
+    ``position`` is that of the agent that was written last, and ``as_of`` the
+    one at which the list was read, None if unknown. Changes become known after
+    ``next_read_seconds``, 0 if a watch is in progress. ``peer`` is the balancer
+    that had it, empty for the store.
     """
 
     __slots__ = (
@@ -45,28 +52,28 @@
         '_entries',
         '_next_read_seconds',
         '_peer',
-        '_revision',
+        '_position',
     )
 
-    as_of: int = read_only('_as_of')
+    as_of: StorePosition | None = read_only('_as_of')
     entries: tuple[AgentEntry, ...] = read_only('_entries')
     next_read_seconds: float = read_only('_next_read_seconds')
     peer: str = read_only('_peer')
-    revision: int = read_only('_revision')
+    position: StorePosition = read_only('_position')
 
     def __init__(
         self,
         *,
         entries: tuple[AgentEntry, ...],
-        revision: int,
-        as_of: int = 0,
+        position: StorePosition = NO_POSITION,
+        as_of: StorePosition | None = None,
         next_read_seconds: float = 0,
         peer: str = '',
     ) -> None:
         self._as_of = as_of
         self._next_read_seconds = next_read_seconds
         self._entries = entries
-        self._revision = revision
+        self._position = position
         self._peer = peer
 
 
@@ -89,22 +96,22 @@
 
 
 class UpdateEvacuations(Message):
-    """Replace the evacuated zones, as of a revision of the store.
+    """Replace the evacuated zones, as of a position of the store.
 
     ``peer`` is the balancer that had them, empty for the store.
     """
 
-    __slots__ = ('_peer', '_revision', '_zones')
+    __slots__ = ('_peer', '_position', '_zones')
 
     peer: str = read_only('_peer')
-    revision: int = read_only('_revision')
+    position: StorePosition = read_only('_position')
     zones: frozenset[str] = read_only('_zones')
 
     def __init__(
-        self, *, zones: frozenset[str], revision: int, peer: str = ''
+        self, *, zones: frozenset[str], position: StorePosition, peer: str = ''
     ) -> None:
         self._zones = zones
-        self._revision = revision
+        self._position = position
         self._peer = peer
 
 
@@ -130,6 +137,17 @@
         self._reason = reason
 
 
+class LearnEra(Message):
+    """Learn of an era of the store, which another watch or process has read."""
+
+    __slots__ = ('_era',)
+
+    era: int = read_only('_era')
+
+    def __init__(self, *, era: int) -> None:
+        self._era = era
+
+
 class ReportObjects(Message):
     """Report the objects of a kind that a watch has read, as stored.
 
@@ -141,14 +159,14 @@
         '_changes',
         '_is_complete',
         '_kind',
-        '_revision',
+        '_position',
         '_unreadable',
     )
 
     changes: tuple[Change, ...] = read_only('_changes')
     is_complete: bool = read_only('_is_complete')
     kind: str = read_only('_kind')
-    revision: int = read_only('_revision')
+    position: StorePosition = read_only('_position')
     unreadable: frozenset[str] = read_only('_unreadable')
 
     def __init__(
@@ -156,13 +174,13 @@
         *,
         kind: str,
         changes: tuple[Change, ...],
-        revision: int,
+        position: StorePosition,
         is_complete: bool,
         unreadable: frozenset[str],
     ) -> None:
         self._kind = kind
         self._changes = changes
-        self._revision = revision
+        self._position = position
         self._is_complete = is_complete
         self._unreadable = unreadable
 
@@ -170,14 +188,14 @@
 class ConfirmObjects(Message):
     """Report that the store has answered the watch of a kind."""
 
-    __slots__ = ('_kind', '_revision')
+    __slots__ = ('_kind', '_position')
 
     kind: str = read_only('_kind')
-    revision: int = read_only('_revision')
+    position: StorePosition = read_only('_position')
 
-    def __init__(self, *, kind: str, revision: int) -> None:
+    def __init__(self, *, kind: str, position: StorePosition) -> None:
         self._kind = kind
-        self._revision = revision
+        self._position = position
 
 
 class DisconnectObjects(Message):
--- a/bluebellfold/relay/store/tests/test_agents.py
+++ b/bluebellfold/relay/store/tests/test_agents.py
@@ -108,7 +108,7 @@
         running = asyncio.create_task(watch.run())
         known = await late.wait_for_addresses([FIRST])
         await stop(watch, running)
-        assert known.revision == early.revision
+        assert known.position == early.position
 
     asyncio.run(run_watched(scenario))
 
--- a/bluebellfold/relay/store/tests/test_evacuations.py
+++ b/bluebellfold/relay/store/tests/test_evacuations.py
@@ -20,6 +20,7 @@
     UpdateEvacuations,
 )
 from bluebellfold.relay.store.tests.test_agents import RecordingActor, stop
+from bluebellfold.relay.tests.harness import position_of
 from bluebellfold.soak.proxy import FORWARDING, RESPONSES_LOST, StoreProxy
 from bluebellfold.standins.object_api import PlatformStandin
 
@@ -55,7 +56,7 @@
             while True:
                 message = await self.actor.received.get()
                 assert isinstance(message, UpdateEvacuations)
-                if message.revision < revision:
+                if message.position.revision < revision:
                     continue
                 if message.zones == set(zones):
                     return message
@@ -96,7 +97,7 @@
         await site.wait_for('a', 'b')
         site.end('a')
         ended = await site.wait_for('b')
-        assert ended.revision > begun.revision
+        assert ended.position > begun.position
 
     run(scenario)
 
@@ -107,7 +108,7 @@
         site.evacuate('a')
         before = await site.wait_for('a')
         site.standin.store.put('config', 'main', {})
-        await site.wait_for('a', revision=before.revision + 1)
+        await site.wait_for('a', revision=before.position.revision + 1)
 
     run(scenario)
 
@@ -239,7 +240,7 @@
 
 
 def changes_of(*changes, revision=9):
-    return Changes(changes=changes, revision=revision)
+    return Changes(changes=changes, position=position_of(revision))
 
 
 async def zones_after(*steps):
--- a/bluebellfold/relay/store/tests/test_odd_agents.py
+++ b/bluebellfold/relay/store/tests/test_odd_agents.py
@@ -8,6 +8,7 @@
 from bluebellfold.platform import Change, Changes, StoredObject
 from bluebellfold.relay.store import AgentWatch
 from bluebellfold.relay.store.tests.test_agents import RecordingActor
+from bluebellfold.relay.tests.harness import position_of
 
 FIRST = {'host': '10.0.0.1', 'port': 8172, 'service': 'counter', 'zone': 'a'}
 SECOND = {**FIRST, 'host': '10.0.0.2'}
@@ -31,7 +32,7 @@
 
 
 def changes_of(*changes):
-    return Changes(changes=changes, revision=9)
+    return Changes(changes=changes, position=position_of(9))
 
 
 async def hosts_after(*steps):
--- a/bluebellfold/relay/store/tests/test_reports_of_watches.py
+++ b/bluebellfold/relay/store/tests/test_reports_of_watches.py
@@ -19,6 +19,7 @@
     UpdateRoutes,
 )
 from bluebellfold.relay.store.tests.test_agents import RecordingActor
+from bluebellfold.relay.tests.harness import position_of
 from bluebellfold.standins.object_api import PlatformStandin
 from bluebellfold.standins.packets import SERVICE
 from bluebellfold.standins.relay_site import make_configuration
@@ -98,7 +99,9 @@
             assert listed.unreadable == {'odd'}
             assert listed.is_complete
             confirmed = await copies.received.get()
-            assert confirmed == ConfirmObjects(kind=AGENTS_KIND, revision=2)
+            assert confirmed == ConfirmObjects(
+                kind=AGENTS_KIND, position=position_of(2)
+            )
             standin.store.put(AGENTS_KIND, 'two', AGENT)
             changed = await next_of(copies, ReportObjects)
             assert specs_of(changed) == {'two': AGENT}
@@ -140,10 +143,10 @@
             standin.store.put('config', 'main', {})
             async with asyncio.timeout(5):
                 confirmed = await copies.received.get()
-                while confirmed.revision < 3:
+                while confirmed.position.revision < 3:
                     confirmed = await copies.received.get()
             assert confirmed == ConfirmObjects(
-                kind=EVACUATIONS_KIND, revision=3
+                kind=EVACUATIONS_KIND, position=position_of(3)
             )
 
     asyncio.run(scenario())
@@ -220,7 +223,7 @@
             assert listed.is_complete
             assert set(specs_of(listed)) == {'one', 'two'}
             assert confirmed == ConfirmObjects(
-                kind=AGENTS_KIND, revision=listed.revision
+                kind=AGENTS_KIND, position=listed.position
             )
 
     asyncio.run(scenario())
--- a/bluebellfold/relay/tests/harness.py
+++ b/bluebellfold/relay/tests/harness.py
@@ -11,6 +11,7 @@
     RoutedService,
     RoutingTable,
     Share,
+    StorePosition,
     pack_address,
 )
 from bluebellfold.platform import decode_client_packet
@@ -19,6 +20,7 @@
     READY,
     AgentEntry,
     AgentLoad,
+    Evacuation,
     LoadReport,
     RequestStats,
     Subscribe,
@@ -95,9 +97,23 @@
     ]
 
 
-def versions_of(*, configuration=1, agents=0, evacuation=NO_EVACUATION):
+def position_of(revision, *, era=1):
+    return StorePosition(era=era, revision=revision)
+
+
+def evacuation_of(*, evacuated=True, revision=9, era=1, is_certain=False):
+    return Evacuation(
+        evacuated=evacuated,
+        position=position_of(revision, era=era),
+        is_certain=is_certain,
+    )
+
+
+def versions_of(*, configuration=1, agents=0, era=1, evacuation=NO_EVACUATION):
     return Versions(
-        configuration=configuration, agents=agents, evacuation=evacuation
+        configuration=configuration,
+        agents=position_of(agents, era=era),
+        evacuation=evacuation,
     )
 
 
@@ -241,15 +257,24 @@
     def now(self):
         return self.clock.now()
 
-    def list_agents(self, agents, *, revision=0, **fields):
-        """Update the list of agents, given by their addresses or entries."""
+    def list_agents(self, agents, *, revision=0, as_of=0, era=1, **fields):
+        """Update the list of agents, given by their addresses or entries.
+
+        Without ``as_of`` it isn't known as of when the list was read.
+        """
         entries = [
             agent
             if isinstance(agent, AgentEntry)
             else AgentEntry(address=agent)
             for agent in agents
         ]
-        self.relay.update_agents(entries, self.now, revision=revision, **fields)
+        self.relay.update_agents(
+            entries,
+            self.now,
+            position=position_of(revision, era=era),
+            as_of=position_of(as_of, era=era) if as_of else None,
+            **fields,
+        )
 
     def receive_message(self, address, message):
         self.relay.handle_message(message, address, self.now)
--- a/bluebellfold/relay/upstreams/load_reporter.py
+++ b/bluebellfold/relay/upstreams/load_reporter.py
@@ -1,8 +1,6 @@
 """Report the state and the load of an upstream to balancers."""
 
-from operator import attrgetter
-
-from bluebellfold.core import NO_VERSION, Announcement
+from bluebellfold.core import Announcement
 from bluebellfold.relay.agents import (
     DRAINING,
     NO_FLOW_LIMIT,
@@ -23,6 +21,7 @@
 from bluebellfold.relay.collectors import Journal
 from bluebellfold.relay.upstreams.flow_table import FlowTable
 from bluebellfold.relay.upstreams.health import UpstreamHealth
+from bluebellfold.relay.upstreams.known_versions import KnownVersions
 from bluebellfold.relay.upstreams.performance import Performance
 from bluebellfold.relay.upstreams.transport import Transport
 from bluebellfold.relay.upstreams.warmup import WarmupLimit
@@ -53,6 +52,7 @@
         '_idle_seconds',
         '_incarnation',
         '_journal',
+        '_known_versions',
         '_performance',
         '_reported_at',
         '_reported_state',
@@ -60,7 +60,6 @@
         '_stopping',
         '_subscriptions',
         '_transport',
-        '_versions',
         '_was_limited',
         '_warmup_limit',
         '_zone',
@@ -96,7 +95,7 @@
         self._reported_state = UNKNOWN
         self._changed = True
         self._stopping = False
-        self._versions = Versions(configuration=NO_VERSION, agents=NO_VERSION)
+        self._known_versions = KnownVersions()
 
     @property
     def idle_seconds(self) -> float:
@@ -114,12 +113,12 @@
     @property
     def versions(self) -> Versions:
         """Return the newest versions that balancers have told."""
-        return self._versions
+        return self._known_versions.newest
 
     @property
     def evacuation(self) -> Evacuation:
         """Return the newest state of the zone that balancers have told."""
-        return self._versions.evacuation
+        return self._known_versions.evacuation
 
     @property
     def report_due(self) -> float:
@@ -173,22 +172,14 @@
             now=now,
         )
         # Reports carry these to balancers whose watch has missed a change.
-        known, reported = self._versions, message.versions
-        self._versions = Versions(
-            configuration=max(known.configuration, reported.configuration),
-            agents=max(known.agents, reported.agents),
-            evacuation=max(
-                known.evacuation,
-                reported.evacuation,
-                key=attrgetter('revision'),
-            ),
-        )
+        was_evacuated = self.evacuation.evacuated
+        self._learn_versions(message, address, now)
         self._learn_warmup_rate(message, now)
         if is_new:
             self._journal.log('BBF0726', balancer=address[0], subscribed=True)
         if is_new or message.once:
             self.report_to(address, now)
-        if self.evacuation.evacuated != known.evacuation.evacuated:
+        if self.evacuation.evacuated != was_evacuated:
             self._report_evacuation(address, now)
         self._update_idle_time()
         return is_new
@@ -250,11 +241,26 @@
             'BBF0747',
             zone=self._zone,
             evacuated=self.evacuation.evacuated,
-            revision=self.evacuation.revision,
+            era=self.evacuation.position.era,
+            revision=self.evacuation.position.revision,
             balancer=balancer[0],
         )
         self.report(now)
 
+    def _learn_versions(
+        self, message: Subscribe, balancer: Address, now: float
+    ) -> None:
+        era_before = self._known_versions.era
+        if not self._known_versions.learn(message.versions, now):
+            return
+        self._journal.count('store-eras-begun')
+        self._journal.log(
+            'BBF0761',
+            era=self._known_versions.era,
+            era_before=era_before,
+            source=balancer[0],
+        )
+
     def _update_idle_time(self) -> None:
         # A balancer without a configuration sends 0.
         told = self._subscriptions.idle_seconds
@@ -319,7 +325,7 @@
                 arrivals_per_second=self.arrivals_per_second(now),
             ),
             offers_seen=offers_seen,
-            versions=self._versions,
+            versions=self.versions,
         )
         report = LoadReport(load=load, followers=len(self._subscriptions))
         self._transport.send_to_balancer(address, report)
--- a/bluebellfold/relay/upstreams/tests/test_evacuations.py
+++ b/bluebellfold/relay/upstreams/tests/test_evacuations.py
@@ -7,13 +7,15 @@
 from bluebellfold.relay.agents import (
     DECLINED_EVACUATED,
     Declined,
-    Evacuation,
     ForwardedPacket,
     LoadReport,
     ReturnedPacket,
 )
+from bluebellfold.relay.agents.zone_states import REWRITE_SECONDS
 from bluebellfold.relay.tests.harness import (
     encode_and_decode,
+    evacuation_of,
+    position_of,
     single,
     subscribe_of,
     versions_of,
@@ -32,9 +34,10 @@
 _ports = itertools.count(50_000)
 
 
-def tell(agent, *, evacuated=True, revision=9, balancer=BALANCER):
-    evacuation = Evacuation(evacuated=evacuated, revision=revision)
-    message = subscribe_of(versions=versions_of(evacuation=evacuation))
+def tell(agent, *, evacuated=True, revision=9, era=1, balancer=BALANCER):
+    evacuation = evacuation_of(evacuated=evacuated, revision=revision, era=era)
+    versions = versions_of(era=era, evacuation=evacuation)
+    message = subscribe_of(versions=versions)
     agent.receive_message(balancer, encode_and_decode(message))
 
 
@@ -92,7 +95,7 @@
         for address, message in agent.transport.sent
         if isinstance(message, LoadReport)
     }
-    state = Evacuation(evacuated=True, revision=9)
+    state = evacuation_of(revision=9)
     assert reported == {BALANCER: state, OTHER_BALANCER: state}
 
 
@@ -103,7 +106,7 @@
     tell(agent, revision=10)
     assert not agent.transport.sent
     agent.advance(0.2)
-    assert last_load(agent).versions.evacuation.revision == 10
+    assert last_load(agent).versions.evacuation.position == position_of(10)
 
 
 def test_agent_that_starts_during_an_evacuation_is_told_by_its_first_renewal():
@@ -133,3 +136,46 @@
     offer(agent, copy)
     assert agent.transport.delivered[-1] == copy
     assert not agent.transport.pop_messages(Declined)
+
+
+# Guards against an agent that goes on telling all balancers, also those that
+# have just started, what was known before the store came back from a copy.
+def test_state_of_a_later_era_holds_whatever_its_revision(caplog):
+    agent = agent_with_balancer()
+    tell(agent, evacuated=False, revision=20)
+    tell(agent, revision=9, era=2)
+    assert not accepts_flow(agent)
+    assert last_load(agent).versions.evacuation == evacuation_of(era=2)
+    begun = single([each for each in caplog.records if each.event == 'BBF0761'])
+    assert (begun.era, begun.era_before, begun.source) == (2, 1, BALANCER[0])
+    tell(agent, evacuated=False, revision=10, era=2)
+    assert accepts_flow(agent)
+
+
+def test_balancers_of_two_eras_tell_an_agent_in_turns():
+    agent = agent_with_balancer()
+    tell(agent, revision=9, era=2)
+    for _ in range(3):
+        tell(agent, evacuated=False, revision=20, balancer=OTHER_BALANCER)
+        assert not accepts_flow(agent)
+        tell(agent, revision=9, era=2)
+    assert agent.relay.versions.agents == position_of(0, era=2)
+
+
+def test_lost_evacuation_holds_until_the_writes_are_repeated():
+    agent = agent_with_balancer()
+    tell(agent, revision=20)
+    tell(agent, evacuated=False, revision=8, era=2, balancer=OTHER_BALANCER)
+    assert not accepts_flow(agent)
+    agent.advance(REWRITE_SECONDS + 1)
+    agent.announce(sequence=2)
+    tell(agent, evacuated=False, revision=8, era=2)
+    assert accepts_flow(agent)
+
+
+def test_newest_list_of_agents_is_that_of_the_later_era():
+    agent = agent_with_balancer()
+    for agents, era in ((20, 1), (7, 2), (21, 1)):
+        versions = versions_of(agents=agents, era=era)
+        agent.receive_message(BALANCER, subscribe_of(versions=versions))
+    assert agent.relay.versions.agents == position_of(7, era=2)
--- a/bluebellfold/soak/evacuation_faults.py
+++ b/bluebellfold/soak/evacuation_faults.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from bluebellfold.core import Sentinel
 from bluebellfold.platform import EVACUATIONS_KIND
 from bluebellfold.soak.evacuation_bound import bound_of_evacuation
 from bluebellfold.soak.faults import FAULTS
@@ -43,7 +42,7 @@
     while not _is_observed(site, acknowledged_at):
         await asyncio.sleep(POLL_SECONDS)
     ended_at = site.now()
-    _end_evacuation(site, zone)
+    site.end_evacuation(zone)
     site.evacuated.discard(zone)
     site.record_disturbance(zone, 0)
     site.checker.record_evacuation(
@@ -101,12 +100,3 @@
         outages=site.checker.disturbances(STORE),
         unstable=site.checker.disturbances(UNSTABLE_STORE),
     )
-
-
-def _end_evacuation(site: SoakSite, zone: str) -> None:
-    stored = site.store.read(EVACUATIONS_KIND, zone)
-    if isinstance(stored, Sentinel):
-        return
-    site.store.delete(
-        EVACUATIONS_KIND, zone, revision=stored['meta']['Revision']
-    )
--- a/bluebellfold/soak/site.py
+++ b/bluebellfold/soak/site.py
@@ -7,7 +7,8 @@
 from itertools import pairwise
 from pathlib import Path
 
-from bluebellfold.core import Endpoint
+from bluebellfold.core import Endpoint, Sentinel
+from bluebellfold.platform import EVACUATIONS_KIND
 from bluebellfold.soak.invariants import InvariantChecker
 from bluebellfold.soak.proxy import StoreProxy
 from bluebellfold.standins.child import Child
@@ -74,6 +75,9 @@
         self.routes_changed_at = float(0)
         self._idle_changes = [(float(0), IDLE_MS)]
         self._version = 1
+        self._configuration = make_configuration(
+            self._version, *self.ports, warmup_rate=self.warmup_rate
+        )
         self._started_at = time.monotonic()
         self._acquired: set[str] = set()
 
@@ -99,6 +103,25 @@
         self._idle_changes.append((self.now(), idle_ms))
         self._write_configuration()
 
+    def repeat_operator_writes(self) -> None:
+        """Write again what the operator wrote and the store has lost."""
+        self._put_configuration()
+        for zone in self.zones:
+            stored = self.store.read(EVACUATIONS_KIND, zone)
+            if zone in self.evacuated and not stored:
+                self.store.put(EVACUATIONS_KIND, zone, {})
+            elif stored and zone not in self.evacuated:
+                self.end_evacuation(zone)
+
+    def end_evacuation(self, zone: str) -> None:
+        """Remove the object of an evacuation, if there is one."""
+        stored = self.store.read(EVACUATIONS_KIND, zone)
+        if isinstance(stored, Sentinel):
+            return
+        self.store.delete(
+            EVACUATIONS_KIND, zone, revision=stored['meta']['Revision']
+        )
+
     def may_expire(self, idle_since: float) -> bool:
         """Return whether a flow has been idle for longer than allowed."""
         changes = [*self._idle_changes, (self.now(), 0)]
@@ -268,13 +291,13 @@
         self._version += 1
         ports = (*self.ports, EXTRA_PORT)[: 2 + self.has_extra_route]
         _, idle_ms = self._idle_changes[-1]
-        self.store.put(
-            'config',
-            'main',
-            make_configuration(
-                self._version,
-                *ports,
-                idle_ms=idle_ms,
-                warmup_rate=self.warmup_rate,
-            ),
+        self._configuration = make_configuration(
+            self._version,
+            *ports,
+            idle_ms=idle_ms,
+            warmup_rate=self.warmup_rate,
         )
+        self._put_configuration()
+
+    def _put_configuration(self) -> None:
+        self.store.put('config', 'main', self._configuration)
--- a/bluebellfold/soak/store_faults.py
+++ b/bluebellfold/soak/store_faults.py
@@ -11,6 +11,10 @@
 SHORT_IDLE_MS = 5000
 # A call without a response may be executed up to 6 s later.
 LATE_SECONDS = 6.0
+# A store that comes back from a copy is away for a moment, and the operator
+# repeats the lost writes after one of these times.
+AWAY_SECONDS = 0.3
+GAP_SECONDS = (0, 0.5, 2.0)
 # More writes than the processes of a soak send during a fault.
 ALL_WRITES = 1_000_000
 # One of these is drawn. A creation that is held with a deletion repairs what
@@ -59,6 +63,25 @@
     await site.platform.execute_held()
 
 
+@FAULTS.add('store-restored')
+async def restore_copy(site: SoakSite, fault: ScheduledFault) -> None:
+    """Make the store lose its last writes; the operator's are repeated."""
+    if not site.try_acquire(STORE):
+        return
+    copied = site.store.copy()
+    await asyncio.sleep(fault.seconds)
+    gap_seconds = GAP_SECONDS[fault.target % len(GAP_SECONDS)]
+    site.record_disturbance(STORE, AWAY_SECONDS + gap_seconds)
+    site.platform.inject(refuse=True)
+    await asyncio.sleep(AWAY_SECONDS)
+    # Watches that wait end, or go on until their time ends.
+    site.store.restore(copied, ends_watches=fault.target % 2 == 0)
+    site.platform.inject(refuse=0)
+    await asyncio.sleep(gap_seconds)
+    site.repeat_operator_writes()
+    site.release(STORE)
+
+
 @FAULTS.add('configuration-changed')
 async def change_configuration(site: SoakSite, fault: ScheduledFault) -> None:
     """Add the extra route, or remove it if it is present."""
--- a/bluebellfold/soak/tests/test_soak.py
+++ b/bluebellfold/soak/tests/test_soak.py
@@ -43,6 +43,7 @@
     'machine-restarted-in-late-writes',
     'store-delays-writes',
 )
+RESTORED_KINDS = ('machine-restarted', 'store-restored', 'zone-evacuated')
 ALL_KINDS = tuple(sorted(EARLIER_KINDS + NEW_KINDS))
 SHORT_SECONDS = 6.0
 SHORT_SEEDS = (
@@ -50,6 +51,7 @@
     (2, SHORT_SECONDS, 3, EARLIER_KINDS),
     (3, SHORT_SECONDS, 4, NEW_KINDS),
     (4, SHORT_SECONDS, 4, MACHINE_KINDS),
+    (6, SHORT_SECONDS, 4, RESTORED_KINDS),
 )
 # Add each seed that violates an invariant, with a line on the cause.
 VIOLATING_SEEDS = (
--- a/bluebellfold/standins/object_api.py
+++ b/bluebellfold/standins/object_api.py
@@ -23,6 +23,9 @@
 HOLD_WRITES = 'hold_writes'
 # The methods of writes that are held, all by default.
 HOLD_METHODS = 'hold_methods'
+# The responses don't name the era of the store.
+HIDE_ERA = 'hide_era'
+ERA_HEADER = 'Store-Era'
 LOOPBACK = '127.0.0.1'
 # JSON escapes can make a request larger than its object of at most 1 MiB.
 MAX_REQUEST_BYTES = 8_000_000
@@ -36,6 +39,7 @@
     STALE_READS,
     HOLD_WRITES,
     HOLD_METHODS,
+    HIDE_ERA,
 )
 
 
@@ -137,12 +141,19 @@
             request.transport.abort()
         return web.Response()
 
+    async def _name_era(
+        self, _: web.Request, response: web.StreamResponse
+    ) -> None:
+        if not self.fault(HIDE_ERA):
+            response.headers[ERA_HEADER] = str(self.store.era)
+
     async def _apply_faults(self) -> None:
         await asyncio.sleep(self.fault(SLOW_SECONDS) or 0)
         self.raise_if_refusing()
 
     def _application(self) -> web.Application:
         application = web.Application(client_max_size=MAX_REQUEST_BYTES)
+        application.on_response_prepare.append(self._name_era)
         application.add_routes(
             [
                 web.get('/calls', self.serve_calls),
--- a/bluebellfold/standins/object_store.py
+++ b/bluebellfold/standins/object_store.py
@@ -4,7 +4,7 @@
 import json
 from typing import Any
 
-from bluebellfold.core import Sentinel
+from bluebellfold.core import Record, Sentinel, read_only
 from bluebellfold.platform import MISSING_OBJECT, REVISION_CONFLICT
 
 MAX_OBJECT_BYTES = 1_048_576
@@ -16,6 +16,32 @@
 
 Fields = dict[str, Any]
 Key = tuple[str, str]
+# Revision, kind and what a watch returns.
+Event = tuple[int, str, Fields]
+
+
+class StoreCopy(Record):
+    """Hold the state of a store at one moment."""
+
+    __slots__ = ('_events', '_history_start', '_revision', '_stored')
+
+    events: tuple[Event, ...] = read_only('_events')
+    history_start: int = read_only('_history_start')
+    revision: int = read_only('_revision')
+    stored: dict[Key, Fields] = read_only('_stored')
+
+    def __init__(
+        self,
+        *,
+        stored: dict[Key, Fields],
+        events: tuple[Event, ...],
+        revision: int,
+        history_start: int,
+    ) -> None:
+        self._stored = stored
+        self._events = events
+        self._revision = revision
+        self._history_start = history_start
 
 
 class ObjectStore:
@@ -23,6 +49,7 @@
 
     __slots__ = (
         '_changed',
+        '_era',
         '_events',
         '_history_start',
         '_previous',
@@ -33,7 +60,8 @@
     def __init__(self) -> None:
         self._stored: dict[Key, Fields] = {}
         self._previous: dict[Key, Fields] = {}
-        self._events: list[tuple[int, str, Fields]] = []
+        self._events: list[Event] = []
+        self._era = 1
         self._revision = 0
         self._history_start = 0
         self._changed = asyncio.Event()
@@ -43,6 +71,34 @@
         """Return the revision of the last change."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """Return how often the store came back from a copy, and one."""
+        return self._era
+
+    def copy(self) -> StoreCopy:
+        """Return a copy that ``restore`` can bring back."""
+        return StoreCopy(
+            stored=dict(self._stored),
+            events=tuple(self._events),
+            revision=self._revision,
+            history_start=self._history_start,
+        )
+
+    def restore(self, copied: StoreCopy, *, ends_watches: bool = True) -> None:
+        """Come back from a copy: all later writes and revisions are gone.
+
+        Unless it ``ends_watches``, those that wait go on until their time ends.
+        """
+        self._stored = dict(copied.stored)
+        self._previous.clear()
+        self._events = list(copied.events)
+        self._revision = copied.revision
+        self._history_start = copied.history_start
+        self._era += 1
+        if ends_watches:
+            self.wake()
+
     def names(self, kind: str) -> list[str]:
         """Return the sorted names of the objects of a kind."""
         return sorted(
@@ -121,8 +177,8 @@
         ]
 
     def is_history_gone(self, revision: int) -> bool:
-        """Return whether the changes since a revision are no longer kept."""
-        return revision < self._history_start
+        """Return whether the store lacks a revision or the changes since."""
+        return not self._history_start <= revision <= self._revision
 
     def clear_history(self) -> None:
         """Discard the history of changes."""
--- a/bluebellfold/standins/tests/test_object_calls.py
+++ b/bluebellfold/standins/tests/test_object_calls.py
@@ -28,17 +28,19 @@
         standin.inject(stale_reads=True)
         stored = standin.store.put('a', 'b', 2)
         assert isinstance(stored, dict)
-        stale = await watch_kind(client, listed.revision)
+        stale = await watch_kind(client, listed.position.revision)
         assert versions(stale) == [1]
         standin.inject(stale_reads=False)
-        fresh = await watch_kind(client, stale.revision)
+        fresh = await watch_kind(client, stale.position.revision)
         assert versions(fresh) == [2]
         standin.inject(stale_reads=True)
         standin.store.delete('a', 'b', revision=stored['meta']['Revision'])
-        stale = await watch_kind(client, fresh.revision)
+        stale = await watch_kind(client, fresh.position.revision)
         assert versions(stale) == []
         standin.inject(stale_reads=False)
-        assert versions(await watch_kind(client, stale.revision)) == [None]
+        assert versions(await watch_kind(client, stale.position.revision)) == [
+            None
+        ]
         client.close()
         await standin.stop()
 
--- a/bluebellfold/store/client.py
+++ b/bluebellfold/store/client.py
@@ -254,7 +254,7 @@
         self, name: str, changes: Changes
     ) -> TextVersions | None:
         self._watch_revisions[name] = max(
-            changes.revision, self._watch_revisions.get(name, 0)
+            changes.position.revision, self._watch_revisions.get(name, 0)
         )
         existing = [change for change in changes.changes if not change.deleted]
         return (
