Keep an agent that ran without an entry for a planned restart

What callers saw: the store was down, an upstream was replaced and the agent beside it restarted as planned.

Cause: an agent without an entry was dropped after 0.7 s of silence. That is right for one that has left with its entry; a planned restart takes longer, and a listed agent has 3 s. BBF0708 removes the agent 0.7 s after its stop, and BBF0706 follows for each flow, denied by the other agents.

Fix: an agent that has reported since the list lacks it has run without an entry, and may be silent for as long as a listed one unless its upstream is down. One that is silent since its entry has gone leaves after 0.7 s as before, so that lookups of ended flows wait no longer.

The page on late deletions said that open flows go on; it names the restart now.

--- a/bluebellfold/relay/callers/unlisted_agents.py
+++ b/bluebellfold/relay/callers/unlisted_agents.py
@@ -4,7 +4,8 @@
 deletion that is executed late, or of many at once. A balancer that dropped
 such an agent at once would reset its living flows, since all others deny them.
 An agent that reports is kept until it is silent, and told that it has to be
-registered again.
+registered again. The store may be away meanwhile, and the agent may be
+restarted as planned before it is listed.
 """
 
 from collections.abc import Iterable
@@ -18,19 +19,21 @@
 )
 
 # A running agent reports every 0.2 s to a balancer that follows it, and another
-# one is probed every 0.3 s: two messages may be lost.
+# one is probed every 0.3 s: two messages may be lost. One that doesn't report
+# after its entry has gone has left with it.
 SILENCE_SECONDS = 0.7
 
 
 class UnlistedAgents:
     """Hold the entries of running agents that the list lacks."""
 
-    __slots__ = ('_agent_table', '_entries', '_listed')
+    __slots__ = ('_agent_table', '_entries', '_listed', '_unlisted_since')
 
     def __init__(self, *, agent_table: AgentTable) -> None:
         self._agent_table = agent_table
         self._listed: tuple[AgentEntry, ...] = ()
         self._entries: dict[Address, AgentEntry] = {}
+        self._unlisted_since: dict[Address, float] = {}
 
     def __len__(self) -> int:
         """Return the number of kept agents."""
@@ -57,10 +60,15 @@
         self._listed = tuple(entries)
         listed = {entry.address for entry in self._listed}
         kept_before = self._entries
+        self._unlisted_since = {
+            view.address: self._unlisted_since.get(view.address, now)
+            for view in self._agent_table.views
+            if view.address not in listed
+        }
         self._entries = {
             view.address: view.entry
             for view in self._agent_table.views
-            if view.address not in listed and _is_running(view, now)
+            if view.address not in listed and self._is_running(view, now)
         }
         return tuple(
             address for address in self._entries if address not in kept_before
@@ -75,18 +83,26 @@
         )
         for address in silent:
             self._entries.pop(address)
+            self._unlisted_since.pop(address)
         return silent
 
     def _is_still_running(self, address: Address, now: float) -> bool:
         view = self._agent_table.find(address)
-        return view is not None and _is_running(view, now)
-
-
-def _is_running(view: AgentView, now: float) -> bool:
-    # An upstream that has deregistered is reported as down before the entry is
-    # deleted. With open flows it may be another start that goes on, since a
-    # deregistration may arrive late.
-    load = view.load
-    if load is not None and load.state == DOWN and not load.flows:
-        return False
-    return view.silent_seconds(now) <= SILENCE_SECONDS
+        return view is not None and self._is_running(view, now)
+
+    def _is_running(self, view: AgentView, now: float) -> bool:
+        # An upstream that has deregistered is reported as down before the entry
+        # is deleted. With open flows it may be another start that goes on,
+        # since a deregistration may arrive late.
+        load = view.load
+        is_down = load is not None and load.state == DOWN
+        if load is not None and is_down and not load.flows:
+            return False
+        if is_down or not self._has_run_unlisted(view):
+            return view.silent_seconds(now) <= SILENCE_SECONDS
+        # It may be restarted as planned, like a listed one.
+        return not view.is_presumed_dead(now)
+
+    def _has_run_unlisted(self, view: AgentView) -> bool:
+        """Return whether an agent has reported since the list lacks it."""
+        return view.reported_at > self._unlisted_since[view.address]
